Lay down the layers, the core types and the message set

Cause: the project starts from nothing; its shape has to stand before the code. Ruled out: pydantic for checks, since msgspec checks NamedTuple and TypedDict and also encodes both codecs, so one library carries the edges. Measured: doctests only (python -m pytest), no performance figure yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# Every target sets up the locked environment first, so each works on a fresh machine.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: setup demo test lint bench model capacity clean
+
+$(VENV)/.ready: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps -e .
+	touch $@
+
+setup: $(VENV)/.ready
+
+demo: setup
+	$(BIN)/python -m hawthorntrack.experiment.demo
+
+test: setup
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/ruff format --check hawthorntrack
+	$(BIN)/ruff check hawthorntrack
+
+clean:
+	rm -rf $(VENV) out build *.egg-info
--- /dev/null
+++ b/hawthorntrack/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages, bodies and codecs; no sockets and no decisions."""
--- /dev/null
+++ b/hawthorntrack/protocol/bodies.py
@@ -0,0 +1,194 @@
+"""Bodies of the HTTP interfaces: callers, targets and the table service."""
+
+from typing import Annotated, NamedTuple, NotRequired, TypedDict
+
+import msgspec
+
+from hawthorntrack.state.hashing import digest
+from hawthorntrack.state.outcomes import kinds, message
+from hawthorntrack.state.values import Answer, JobSpec, TaskSpec
+
+KEY_HEADER = "Idempotency-Key"
+CUSTOMER_HEADER = "Hawthorntrack-Customer"
+KEY_MAX_CHARS = 128
+
+Label = Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+
+
+class TaskBody(TypedDict):
+    """One task as a caller submits it."""
+
+    kind: Label
+    input: NotRequired[msgspec.Raw]
+    size_ms: NotRequired[Annotated[int, msgspec.Meta(ge=0, le=3_600_000)]]
+
+
+class JobBody(TypedDict):
+    """A job as a caller submits it."""
+
+    tasks: Annotated[list[TaskBody], msgspec.Meta(min_length=1)]
+    repeatable: NotRequired[bool]
+    deadline_ms: NotRequired[Annotated[int, msgspec.Meta(ge=1, le=3_600_000)]]
+
+
+class AnswerBody(TypedDict):
+    """The answer to a caller."""
+
+    job: str
+    status: str
+    results: NotRequired[list[msgspec.Raw]]
+    kind: NotRequired[str]
+    ran: NotRequired[str]
+    message: NotRequired[str]
+
+
+class AnnouncementBody(TypedDict):
+    """A target's announcement to the guard beside it, renewed every second.
+
+    `address` is where the target takes ``POST /run``; `leaving` says that it takes
+    no new work.
+    """
+
+    service: Label
+    address: Annotated[str, msgspec.Meta(pattern=r"^[0-9.\[\]:a-f]+:[0-9]+$")]
+    kinds: Annotated[list[Label], msgspec.Meta(min_length=1, max_length=100)]
+    slots: Annotated[int, msgspec.Meta(ge=1, le=10_000)]
+    connections: Annotated[int, msgspec.Meta(ge=1, le=10_000)]
+    zone: Label
+    rack: Label
+    worker: Label
+    leaving: NotRequired[bool]
+
+
+class RunBody(TypedDict):
+    """A task as a guard posts it to its target."""
+
+    key: str
+    index: int
+    kind: str
+    size_ms: int
+    input: msgspec.Raw
+
+
+class RowBody(TypedDict):
+    """A row of the table service."""
+
+    key: str
+    version: int
+    value: msgspec.Raw
+
+
+class RowsBody(TypedDict):
+    """The answer to a read by prefix."""
+
+    rows: list[RowBody]
+
+
+class WriteBody(TypedDict):
+    """A conditional write; no `value` deletes the row."""
+
+    expect: int
+    value: NotRequired[msgspec.Raw]
+
+
+class WriteAnswerBody(TypedDict):
+    """The answer to a conditional write: the new version, or the row met."""
+
+    version: NotRequired[int]
+    row: NotRequired[RowBody | None]
+
+
+class BadBody(ValueError):
+    """A body that failed its check; `reason` labels the counter."""
+
+    def __init__(self, reason: str, detail: str) -> None:
+        self.reason = reason
+        super().__init__(detail)
+
+
+class Caller(NamedTuple):
+    """What a caller's request says beside its body."""
+
+    service: str
+    key: str
+    customer: str
+
+
+jobs_decoder = msgspec.json.Decoder(JobBody)
+announcements_decoder = msgspec.json.Decoder(AnnouncementBody)
+
+
+def read_job(caller: Caller, body: bytes, tasks_per_job: int) -> JobSpec:
+    """Return the job of a submission; `deadline_ms` is 0 where none was given.
+
+    Raises
+    ------
+    BadBody
+        If the key or the body is not as docs/CALLERS.md shows.
+    """
+    if not 0 < len(caller.key) <= KEY_MAX_CHARS or not caller.key.isprintable():
+        raise BadBody(
+            "key", f"{KEY_HEADER} must have 1 to {KEY_MAX_CHARS} printable characters."
+        )
+    if not 0 < len(caller.customer) <= KEY_MAX_CHARS:
+        raise BadBody("customer", f"{CUSTOMER_HEADER} must name the customer.")
+    try:
+        job = jobs_decoder.decode(body)
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
+        raise BadBody("body", f"{error}.") from error
+    if len(job["tasks"]) > tasks_per_job:
+        raise BadBody(
+            "tasks", f"A job has at most {tasks_per_job} tasks: split it into several."
+        )
+    tasks = tuple(
+        TaskSpec(
+            task["kind"], bytes(task.get("input", b"null")), task.get("size_ms", 100)
+        )
+        for task in job["tasks"]
+    )
+    return JobSpec(
+        caller.key,
+        digest(body),
+        caller.service,
+        caller.customer,
+        tasks,
+        job.get("repeatable", False),
+        job.get("deadline_ms", 0),
+    )
+
+
+def read_announcement(body: bytes) -> AnnouncementBody:
+    """Return a target's announcement.
+
+    Raises
+    ------
+    BadBody
+        If it is not of the shape that docs/OPERATIONS.md shows.
+    """
+    try:
+        return announcements_decoder.decode(body)
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
+        raise BadBody("announcement", f"{error}.") from error
+
+
+def answer_body(key: str, answer: Answer) -> AnswerBody:
+    """Return the body that carries an answer to its caller."""
+    if answer.status == "complete":
+        outputs = [msgspec.Raw(result.output) for result in answer.results]
+        return {"job": key, "status": "complete", "results": outputs}
+    body: AnswerBody = {"job": key, "status": answer.status}
+    if answer.kind:
+        body |= {"kind": answer.kind, "ran": answer.ran, "message": message(answer)}
+    return body
+
+
+def answer_status(answer: Answer) -> int:
+    """Return the HTTP status of an answer; a failed job is still an answer.
+
+    Examples
+    --------
+    >>> answer_status(Answer("refused", "customer_limit", "no", ""))
+    429
+    """
+    refused = answer.status == "refused" and answer.kind in kinds
+    return kinds[answer.kind].http_status if refused else 200
--- /dev/null
+++ b/hawthorntrack/protocol/codec.py
@@ -0,0 +1,92 @@
+"""Encodings of messages between the system's own processes."""
+
+from typing import Any, NamedTuple, Protocol
+
+import msgspec
+
+from hawthorntrack.protocol.messages import Envelope, messages
+from hawthorntrack.state.registry import Registry
+from hawthorntrack.state.values import Incarnation
+
+
+class BadMessage(ValueError):
+    """Bytes that are no message; `reason` labels the counter."""
+
+    def __init__(self, reason: str, detail: str) -> None:
+        self.reason = reason
+        super().__init__(f"{detail}. Check that both processes run the same release.")
+
+
+class Frame(NamedTuple):
+    """The outer frame; `body` is decoded once the type is known."""
+
+    tag: str
+    address: str
+    nonce: str
+    stamp: int
+    body: msgspec.Raw
+
+
+class Codec(Protocol):
+    """Turns an envelope into bytes and back."""
+
+    def encode(self, envelope: Envelope) -> bytes:
+        """Return the bytes of an envelope."""
+
+    def decode(self, data: bytes) -> Envelope:
+        """Return the envelope of some bytes, or raise `BadMessage`."""
+
+
+codecs: Registry[Codec] = Registry("codec")
+
+
+class MsgspecCodec:
+    """A codec over one of msgspec's formats.
+
+    Parameters
+    ----------
+    format_module : module
+        ``msgspec.msgpack`` or ``msgspec.json``.
+
+    Examples
+    --------
+    >>> from hawthorntrack.protocol.messages import Pending
+    >>> envelope = Envelope(Incarnation("127.0.0.1:1", "a"), 7, Pending("r1"))
+    >>> codecs["json"].decode(codecs["json"].encode(envelope)) == envelope
+    True
+    """
+
+    def __init__(self, format_module: Any) -> None:
+        self.encoder = format_module.Encoder()
+        self.frames = format_module.Decoder(Frame)
+        self.bodies = {name: format_module.Decoder(messages[name]) for name in messages}
+        self.tags = {messages[name]: name for name in messages}
+
+    def encode(self, envelope: Envelope) -> bytes:
+        """Return the bytes of an envelope."""
+        sender = envelope.sender
+        tag = self.tags[type(envelope.body)]
+        return self.encoder.encode(
+            (tag, sender.address, sender.nonce, envelope.stamp, envelope.body)
+        )
+
+    def decode(self, data: bytes) -> Envelope:
+        """Return the envelope of some bytes.
+
+        Raises
+        ------
+        BadMessage
+            If the bytes are no frame, of no known type, or of a wrong shape.
+        """
+        try:
+            frame = self.frames.decode(data)
+            body = self.bodies[frame.tag].decode(frame.body)
+        except KeyError as error:
+            raise BadMessage("unknown_type", f"unknown message type {error}") from error
+        except (msgspec.DecodeError, ValueError, RecursionError) as error:
+            raise BadMessage("malformed", str(error)) from error
+        return Envelope(Incarnation(frame.address, frame.nonce), frame.stamp, body)
+
+
+codecs.register("msgpack")(MsgspecCodec(msgspec.msgpack))
+codecs.register("json")(MsgspecCodec(msgspec.json))
--- /dev/null
+++ b/hawthorntrack/protocol/messages.py
@@ -0,0 +1,292 @@
+"""The messages that the system's own processes send each other.
+
+Every message is one-way. A message that asks for something carries what its answer
+needs to find the asker's task again; who sent it stands in the envelope.
+"""
+
+from typing import Any, NamedTuple
+
+from hawthorntrack.state.keys import KeyNote
+from hawthorntrack.state.registry import Registry
+from hawthorntrack.state.values import (
+    Answer,
+    Incarnation,
+    JobSpec,
+    Place,
+    SlotRow,
+    TargetLoad,
+    TaskResult,
+    TaskSpec,
+)
+
+messages: Registry[type] = Registry("message type")
+message = messages.register
+
+
+class Envelope(NamedTuple):
+    """A message as it arrived.
+
+    Attributes
+    ----------
+    stamp : int
+        Configuration in force at the sender.
+    """
+
+    sender: Incarnation
+    stamp: int
+    body: Any
+
+
+@message("beat")
+class Beat(NamedTuple):
+    """A guard's heartbeat: that it lives, and how busy its target is."""
+
+    place: Place
+    draining: bool
+    loads: tuple[TargetLoad, ...]
+
+
+@message("ask_config")
+class AskConfig(NamedTuple):
+    """Asks a peer with a newer stamp for its configuration rows."""
+
+
+@message("config_rows")
+class ConfigRows(NamedTuple):
+    """Configuration rows as ``(key, version, value)``."""
+
+    rows: tuple[tuple[str, int, bytes], ...]
+
+
+@message("submit")
+class Submit(NamedTuple):
+    """An entry instance submits a job to the owner of its slot."""
+
+    request: str
+    slot: int
+    job: JobSpec
+
+
+@message("inquire")
+class Inquire(NamedTuple):
+    """An entry instance asks whether a job it submitted is still known."""
+
+    request: str
+    slot: int
+    service: str
+    key: str
+
+
+@message("pending")
+class Pending(NamedTuple):
+    """The owner still works on the job."""
+
+    request: str
+
+
+@message("unheard")
+class Unheard(NamedTuple):
+    """The owner has no such job: submit it again."""
+
+    request: str
+
+
+@message("answered")
+class Answered(NamedTuple):
+    """The owner's answer to a submission.
+
+    Attributes
+    ----------
+    row : SlotRow or None
+        The slot's row as the guard knows it, when the guard is not the owner.
+    """
+
+    request: str
+    answer: Answer
+    row: SlotRow | None = None
+
+
+@message("look_up")
+class LookUp(NamedTuple):
+    """Asks the owner what is known of a job."""
+
+    request: str
+    slot: int
+    service: str
+    key: str
+
+
+@message("cancel_job")
+class CancelJob(NamedTuple):
+    """Asks the owner to cancel a job."""
+
+    request: str
+    slot: int
+    service: str
+    key: str
+
+
+@message("note")
+class Note(NamedTuple):
+    """The owner has its witness remember new keys, before it admits them."""
+
+    slot: int
+    epoch: int
+    batch: int
+    keys: tuple[KeyNote, ...]
+
+
+@message("note_taken")
+class NoteTaken(NamedTuple):
+    """The witness remembers the keys of a note."""
+
+    slot: int
+    epoch: int
+    batch: int
+
+
+@message("note_refused")
+class NoteRefused(NamedTuple):
+    """The receiver is not the witness at that epoch."""
+
+    slot: int
+    epoch: int
+
+
+@message("handover")
+class Handover(NamedTuple):
+    """A claimer hands a part of the slot's key set to its new witness."""
+
+    slot: int
+    epoch: int
+    part: int
+    parts: int
+    keys: tuple[KeyNote, ...]
+
+
+@message("handover_taken")
+class HandoverTaken(NamedTuple):
+    """The new witness holds the whole key set of that epoch."""
+
+    slot: int
+    epoch: int
+
+
+@message("yield")
+class Yield(NamedTuple):
+    """The owner asks its witness to claim the slot now."""
+
+    slot: int
+    epoch: int
+
+
+@message("reserve")
+class Reserve(NamedTuple):
+    """An owner asks a guard for permits to start tasks.
+
+    Attributes
+    ----------
+    job : str
+        The owner's number of the job, unique within its incarnation.
+    wait_ms : int
+        How long the request may wait for slots to come free.
+    """
+
+    job: str
+    service: str
+    count: int
+    wait_ms: int
+
+
+@message("grant")
+class Grant(NamedTuple):
+    """A guard grants permits; each holds a slot for a short time."""
+
+    job: str
+    permits: tuple[str, ...]
+    load: TargetLoad
+
+
+@message("release")
+class Release(NamedTuple):
+    """An owner gives permits back and drops its waiting request."""
+
+    job: str
+    permits: tuple[str, ...]
+
+
+class StartTask(NamedTuple):
+    """One task of a start message.
+
+    Attributes
+    ----------
+    attempt : int
+        Counts how often the task was offered to guards, from 1.
+    permit : str
+        The permit it uses up; empty to take a free slot or wait in the queue.
+    """
+
+    index: int
+    attempt: int
+    spec: TaskSpec
+    permit: str = ""
+
+
+@message("start")
+class Start(NamedTuple):
+    """An owner has a guard run tasks of one job.
+
+    Attributes
+    ----------
+    left_ms : int
+        Time left until the job's deadline when this was sent.
+    """
+
+    job: str
+    service: str
+    key: str
+    left_ms: int
+    tasks: tuple[StartTask, ...]
+
+
+@message("done")
+class Done(NamedTuple):
+    """A guard returns results of tasks it ran."""
+
+    job: str
+    results: tuple[TaskResult, ...]
+    load: TargetLoad
+
+
+@message("not_run")
+class NotRun(NamedTuple):
+    """A guard sends tasks back that it did not start and never will.
+
+    Attributes
+    ----------
+    tasks : tuple of (int, int)
+        Index and attempt of each.
+    """
+
+    job: str
+    tasks: tuple[tuple[int, int], ...]
+    reason: str
+    load: TargetLoad
+
+
+@message("probe")
+class Probe(NamedTuple):
+    """An owner asks after tasks; those not started are then never started.
+
+    Attributes
+    ----------
+    drop : bool
+        Whether queued tasks are to be sent back as well, and running ones told
+        to stop.
+    """
+
+    job: str
+    service: str
+    key: str
+    tasks: tuple[tuple[int, int], ...]
+    drop: bool
--- /dev/null
+++ b/hawthorntrack/state/documents.py
@@ -0,0 +1,162 @@
+"""A service's document: what must be delivered, and how."""
+
+from typing import Annotated, Any, NamedTuple, NotRequired, TypedDict
+
+import msgspec
+
+from hawthorntrack.state.checking import InvalidInput, check
+from hawthorntrack.state.registry import Registry
+
+Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9_-]*\Z", max_length=64)]
+Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+Milliseconds = Annotated[int, msgspec.Meta(ge=1, le=3_600_000)]
+Seconds = Annotated[int, msgspec.Meta(ge=1, le=86_400)]
+Ratio = Annotated[float, msgspec.Meta(ge=0, le=10)]
+
+ENVIRONMENTS = ("trial", "production")
+DEFAULT_CUSTOMER = "default"
+
+
+class DeadlinesBody(TypedDict):
+    """Deadlines in milliseconds."""
+
+    default_ms: Milliseconds
+    max_ms: Milliseconds
+
+
+class RetriesBody(TypedDict):
+    """Bounds on placing again what a guard sent back."""
+
+    max_attempts: Annotated[int, msgspec.Meta(ge=1, le=100)]
+    budget_ratio: Ratio
+
+
+class LimitsBody(TypedDict):
+    """Bounds on work that waits or is remembered, for each guard."""
+
+    queued_tasks: Count
+    guard_queue: Annotated[int, msgspec.Meta(ge=0, le=1000)]
+    remembered_keys: Count
+
+
+class CustomerBody(TypedDict):
+    """One customer's quota: tasks at once over all guards, and its weight."""
+
+    max_tasks: Count
+    weight: NotRequired[Annotated[float, msgspec.Meta(gt=0, le=1000)]]
+
+
+class DocumentBody(TypedDict):
+    """The YAML document of one service in one environment."""
+
+    service: Name
+    deadlines: DeadlinesBody
+    retries: RetriesBody
+    limits: LimitsBody
+    customers: dict[str, CustomerBody]
+    retention_s: Seconds
+    policy: str
+    witness: str
+
+
+class Customer(NamedTuple):
+    """A customer's quota in force."""
+
+    max_tasks: int
+    weight: float
+
+
+class Document(NamedTuple):
+    """A document in force, at its version in this environment."""
+
+    service: str
+    version: int
+    default_ms: int
+    max_ms: int
+    max_attempts: int
+    budget_ratio: float
+    queued_tasks: int
+    guard_queue: int
+    remembered_keys: int
+    customers: dict[str, Customer]
+    retention_s: int
+    policy: str
+    witness: str
+
+    def customer(self, name: str) -> Customer:
+        """Return the customer's quota, or that of the default customer."""
+        return self.customers.get(name, self.customers[DEFAULT_CUSTOMER])
+
+
+witness_rules: Registry[str] = Registry("witness rule")
+for rule in ("other_zone", "other_rack"):
+    witness_rules.register(rule)(rule)
+
+
+def check_document(data: Any, source: str, policies: list[str]) -> DocumentBody:
+    """Return a document's body after checking it whole.
+
+    Parameters
+    ----------
+    data : Any
+        Plain values of the YAML document.
+    policies : list of str
+        Names of the placement policies known.
+
+    Raises
+    ------
+    InvalidInput
+        With the key path and the remedy.
+    """
+    body = check(data, DocumentBody, source)
+    if body["deadlines"]["default_ms"] > body["deadlines"]["max_ms"]:
+        raise InvalidInput(
+            source,
+            "deadlines.default_ms",
+            "is above deadlines.max_ms",
+            "Lower the default or raise the maximum.",
+        )
+    if body["policy"] not in policies:
+        raise InvalidInput(
+            source,
+            "policy",
+            f"no policy {body['policy']!r}",
+            f"Choose one of {', '.join(policies)}.",
+        )
+    if body["witness"] not in witness_rules:
+        raise InvalidInput(
+            source,
+            "witness",
+            f"no rule {body['witness']!r}",
+            f"Choose one of {', '.join(witness_rules.names())}.",
+        )
+    if DEFAULT_CUSTOMER not in body["customers"]:
+        raise InvalidInput(
+            source,
+            "customers",
+            "has no default",
+            "Add a customer named default for callers that are not listed.",
+        )
+    return body
+
+
+def document_of(body: DocumentBody, version: int) -> Document:
+    """Return the value that processes use, made from a checked body."""
+    return Document(
+        service=body["service"],
+        version=version,
+        default_ms=body["deadlines"]["default_ms"],
+        max_ms=body["deadlines"]["max_ms"],
+        max_attempts=body["retries"]["max_attempts"],
+        budget_ratio=body["retries"]["budget_ratio"],
+        queued_tasks=body["limits"]["queued_tasks"],
+        guard_queue=body["limits"]["guard_queue"],
+        remembered_keys=body["limits"]["remembered_keys"],
+        customers={
+            name: Customer(item["max_tasks"], item.get("weight", 1.0))
+            for name, item in body["customers"].items()
+        },
+        retention_s=body["retention_s"],
+        policy=body["policy"],
+        witness=body["witness"],
+    )
--- /dev/null
+++ b/hawthorntrack/state/keys.py
@@ -0,0 +1,102 @@
+"""The idempotency keys of a slot, kept for the resubmission window."""
+
+from collections import OrderedDict
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from hawthorntrack.state.values import Answer
+
+
+class KeyNote(NamedTuple):
+    """A key as pair members pass it on.
+
+    Attributes
+    ----------
+    age_ms : int
+        Time since it was noted, by the clock of the member that passes it on.
+    """
+
+    service: str
+    key: str
+    digest: bytes
+    age_ms: int
+
+
+class KeyRecord(NamedTuple):
+    """A key as one member remembers it.
+
+    Attributes
+    ----------
+    noted_at : float
+        Loop time in seconds.
+    epoch : int
+        The epoch at which this guard admitted it as owner; 0 if it did not.
+    answer : Answer or None
+        The answer, once there is one and while it is kept.
+    """
+
+    digest: bytes
+    noted_at: float
+    epoch: int = 0
+    answer: Answer | None = None
+    ended: bool = False
+
+
+class KeySet:
+    """Keys of one slot in the order noted, forgotten after the retention.
+
+    Examples
+    --------
+    >>> keys = KeySet()
+    >>> keys.note("visits", "k", b"d", now=1.0)
+    >>> keys.find("visits", "k").noted_at
+    1.0
+    >>> keys.expire(now=700.0, retention_s=600)
+    >>> len(keys)
+    0
+    """
+
+    def __init__(self) -> None:
+        self.records: OrderedDict[tuple[str, str], KeyRecord] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self.records)
+
+    def find(self, service: str, key: str) -> KeyRecord | None:
+        """Return what is remembered of a key."""
+        return self.records.get((service, key))
+
+    def note(self, service: str, key: str, digest: bytes, now: float) -> None:
+        """Remember a key, unless it is remembered already."""
+        self.records.setdefault((service, key), KeyRecord(digest, now))
+
+    def put(self, service: str, key: str, record: KeyRecord) -> None:
+        """Replace what is remembered of a key."""
+        self.records[(service, key)] = record
+
+    def drop(self, service: str, key: str) -> None:
+        """Forget a key that was refused and never ran."""
+        self.records.pop((service, key), None)
+
+    def expire(self, now: float, retention_s: float) -> None:
+        """Forget keys noted more than `retention_s` ago, but none still running."""
+        old = [
+            name
+            for name, record in self.records.items()
+            if now - record.noted_at > retention_s
+            and (record.ended or not record.epoch)
+        ]
+        for name in old:
+            del self.records[name]
+
+    def notes(self, now: float) -> Iterator[KeyNote]:
+        """Yield all keys with their age, for a new pair member."""
+        return (
+            KeyNote(service, key, record.digest, int((now - record.noted_at) * 1000))
+            for (service, key), record in self.records.items()
+        )
+
+    def merge(self, notes: tuple[KeyNote, ...], now: float) -> None:
+        """Take in keys that another member passed on."""
+        for note in notes:
+            self.note(note.service, note.key, note.digest, now - note.age_ms / 1000)
--- /dev/null
+++ b/hawthorntrack/state/metrics.py
@@ -0,0 +1,27 @@
+"""Counters, gauges and histograms of a process."""
+
+from prometheus_client import Counter, Gauge, Histogram
+
+REFUSALS = Counter("hawthorntrack_refusals", "Requests refused, not run.", ["kind"])
+FAILURES = Counter("hawthorntrack_failures", "Jobs answered failed.", ["kind"])
+RETRIES = Counter("hawthorntrack_retries", "Things sent again.", ["reason"])
+JOBS = Counter("hawthorntrack_jobs", "Jobs answered.", ["status"])
+STARTS = Counter("hawthorntrack_task_starts", "Tasks started at a target.")
+NOT_RUN = Counter("hawthorntrack_not_run", "Tasks a guard sent back.", ["reason"])
+MESSAGES = Counter("hawthorntrack_messages", "Bus messages.", ["direction", "type"])
+MESSAGE_BYTES = Counter("hawthorntrack_message_bytes", "Bus bytes.", ["direction"])
+BAD_INPUT = Counter("hawthorntrack_bad_input", "Input refused.", ["edge", "reason"])
+MAILBOX_FULL = Counter("hawthorntrack_mailbox_full", "Messages dropped.", ["task"])
+BUS_DROPS = Counter("hawthorntrack_bus_drops", "Bus messages dropped.", ["reason"])
+TABLE_CALLS = Counter("hawthorntrack_table_calls", "Table calls.", ["call", "outcome"])
+CLAIMS = Counter("hawthorntrack_slot_claims", "Slot claims begun.", ["reason"])
+SLOTS = Gauge("hawthorntrack_slots", "Slots by role of this guard.", ["phase"])
+QUEUED = Gauge("hawthorntrack_queued_tasks", "Tasks waiting.", ["where"])
+RUNNING = Gauge("hawthorntrack_running_tasks", "Tasks at the target.")
+KEYS = Gauge("hawthorntrack_remembered_keys", "Idempotency keys remembered.")
+CONFIG_STAMP = Gauge("hawthorntrack_config_stamp", "Configuration in force.")
+RESPONSE_RATIO = Histogram(
+    "hawthorntrack_response_ratio",
+    "Response time over the job's longest task at its target.",
+    buckets=(1.01, 1.05, 1.1, 1.2, 1.5, 2, 3, 5, 10, 30),
+)
--- /dev/null
+++ b/hawthorntrack/state/outcomes.py
@@ -0,0 +1,164 @@
+"""The kinds of refusal and failure, each with the remedy its message names."""
+
+from dataclasses import dataclass
+
+from hawthorntrack.state.registry import Registry
+from hawthorntrack.state.values import Answer
+
+
+@dataclass(frozen=True)
+class OutcomeKind:
+    """One kind of refusal or failure.
+
+    Attributes
+    ----------
+    http_status : int
+        What the callers' interface answers with.
+    retry_after_s : int
+        Seconds to wait before trying again; 0 when waiting does not help.
+    """
+
+    name: str
+    http_status: int
+    remedy: str
+    retry_after_s: int = 0
+
+
+kinds: Registry[OutcomeKind] = Registry("outcome kind")
+
+
+def define(
+    name: str, http_status: int, remedy: str, retry_after_s: int = 0
+) -> OutcomeKind:
+    """Register a kind and return it."""
+    kind = OutcomeKind(name, http_status, remedy, retry_after_s)
+    return kinds.register(name)(kind)
+
+
+def refuse(kind: OutcomeKind, detail: str = "") -> Answer:
+    """Return the answer for a request of which nothing was or will be run."""
+    return Answer("refused", kind.name, "no", detail)
+
+
+def fail(kind: OutcomeKind, ran: str, detail: str = "") -> Answer:
+    """Return the answer for a job that may have run in part; no results."""
+    return Answer("failed", kind.name, ran, detail)
+
+
+def message(answer: Answer) -> str:
+    """Return what was met and the remedy, in words.
+
+    Examples
+    --------
+    >>> message(refuse(DRAINING))
+    'This instance is stopping. Send the request to another entry instance.'
+    """
+    remedy = kinds[answer.kind].remedy if answer.kind in kinds else ""
+    return f"{answer.detail} {remedy}".strip()
+
+
+BAD_REQUEST = define(
+    "bad_request", 400, "Correct the request as docs/CALLERS.md shows."
+)
+BODY_TOO_LARGE = define("body_too_large", 413, "Split the job into smaller ones.")
+UNKNOWN_SERVICE = define(
+    "unknown_service",
+    404,
+    "Check the service's name, or have its document put into this environment.",
+)
+UNKNOWN_JOB = define("unknown_job", 404, "Check the key, or submit the job.")
+KEY_CONFLICT = define(
+    "key_conflict",
+    409,
+    "This key was used with another body: use a new key for a new job.",
+)
+DRAINING = define(
+    "draining",
+    503,
+    "This instance is stopping. Send the request to another entry instance.",
+    1,
+)
+SLOT_MOVING = define(
+    "slot_moving",
+    503,
+    "The key's slot has no open owner now: send the request again shortly.",
+    1,
+)
+NO_OWNER = define(
+    "no_owner",
+    503,
+    "No guard owned the key's slot before the deadline: send the request again.",
+    1,
+)
+WITNESS_SILENT = define(
+    "witness_silent",
+    503,
+    "The slot's witness did not answer in time: send the request again.",
+    1,
+)
+NO_TARGET = define(
+    "no_target",
+    503,
+    "No target in service runs this kind of task: start one or correct the kind.",
+    2,
+)
+QUEUE_FULL = define(
+    "queue_full", 503, "Too much work is waiting: send the request again later.", 1
+)
+CUSTOMER_LIMIT = define(
+    "customer_limit",
+    429,
+    "The customer's quota is used up: wait, or have its limit raised.",
+    1,
+)
+DEADLINE_UNREACHABLE = define(
+    "deadline_unreachable",
+    503,
+    "The work waiting ahead would make it late: wait, or allow a later deadline.",
+    1,
+)
+KEY_STORE_FULL = define(
+    "key_store_full",
+    503,
+    "The slot remembers as many keys as it may: wait, or lower the retention.",
+    5,
+)
+STALE_VIEW = define(
+    "stale_view", 503, "The guard is catching up with the table: send it again.", 1
+)
+CANCELLED = define("cancelled", 409, "The caller cancelled the job.")
+NOT_PLACED = define(
+    "not_placed",
+    503,
+    "No guard took the tasks in time and none was started: send the job again.",
+    1,
+)
+DEADLINE_PASSED = define(
+    "deadline_passed",
+    504,
+    "Allow a later deadline or smaller jobs. Some tasks may have run: look before"
+    " sending the job again under a new key.",
+)
+TASK_FAILED = define(
+    "task_failed", 200, "Correct the task's input, or see the target's own log."
+)
+RETRIES_EXHAUSTED = define(
+    "retries_exhausted",
+    200,
+    "Guards sent tasks back too often: check targets and limits. Some tasks ran.",
+)
+GUARD_LOST = define(
+    "guard_lost",
+    200,
+    "A guard stopped while it had tasks of the job. Some tasks may have run: look"
+    " before sending the job again under a new key.",
+)
+OWNER_LOST = define(
+    "owner_lost",
+    200,
+    "The job's owner changed while it may have run: look before sending the job"
+    " again under a new key.",
+)
+ANSWER_DROPPED = define(
+    "answer_dropped", 200, "The job ended but its answer is no longer kept."
+)
--- /dev/null
+++ b/hawthorntrack/state/settings.py
@@ -0,0 +1,231 @@
+"""A process's settings: a YAML file, checked whole before anything starts."""
+
+import ipaddress
+import socket
+from typing import Annotated, Any, NamedTuple, NotRequired, TypedDict
+
+import msgspec
+
+from hawthorntrack.state.checking import InvalidInput, check, load_yaml
+from hawthorntrack.state.documents import ENVIRONMENTS, Milliseconds, Name
+from hawthorntrack.state.values import Place
+
+Positive = Annotated[int, msgspec.Meta(ge=1)]
+
+
+class ListenBody(TypedDict):
+    """Addresses, ``ip:port``: the bus towards our processes, HTTP otherwise."""
+
+    bus: str
+    http: str
+
+
+class TableBody(TypedDict):
+    """The platform's table service."""
+
+    url: str
+    timeout_ms: NotRequired[Milliseconds]
+    reads_per_s: NotRequired[Positive]
+    writes_per_s: NotRequired[Positive]
+
+
+class TimingBody(TypedDict):
+    """Intervals and bounds in milliseconds."""
+
+    beat_interval_ms: NotRequired[Milliseconds]
+    poll_interval_ms: NotRequired[Milliseconds]
+    members_interval_ms: NotRequired[Milliseconds]
+    pair_silence_ms: NotRequired[Milliseconds]
+    freshness_ms: NotRequired[Milliseconds]
+    inquire_ms: NotRequired[Milliseconds]
+    target_ttl_ms: NotRequired[Milliseconds]
+    drain_limit_ms: NotRequired[Milliseconds]
+    key_clock_skew_ms: NotRequired[Milliseconds]
+
+
+class BoundsBody(TypedDict):
+    """Bounds on what one process accepts."""
+
+    body_bytes: NotRequired[Positive]
+    tasks_per_job: NotRequired[Positive]
+    connections: NotRequired[Positive]
+    mailbox: NotRequired[Positive]
+    view_size: NotRequired[Positive]
+    poll_budget_per_s: NotRequired[Positive]
+
+
+class SettingsBody(TypedDict):
+    """The YAML settings of one process."""
+
+    environment: str
+    zone: Name
+    rack: Name
+    worker: Name
+    listen: ListenBody
+    table: TableBody
+    slots: NotRequired[Annotated[int, msgspec.Meta(ge=1, le=1_048_576)]]
+    seed: NotRequired[int]
+    log: NotRequired[str]
+    timing: NotRequired[TimingBody]
+    bounds: NotRequired[BoundsBody]
+
+
+class Timing(NamedTuple):
+    """Intervals in force, in seconds."""
+
+    beat_interval_s: float = 0.25
+    poll_interval_s: float = 0.5
+    members_interval_s: float = 1.0
+    pair_silence_s: float = 1.5
+    freshness_s: float = 2.5
+    inquire_s: float = 1.0
+    target_ttl_s: float = 3.0
+    drain_limit_s: float = 30.0
+    key_clock_skew_s: float = 60.0
+
+
+class Bounds(NamedTuple):
+    """Bounds in force.
+
+    Attributes
+    ----------
+    view_size : int
+        Guards that one process keeps in view to place tasks on.
+    poll_budget_per_s : int
+        Configuration reads per second that all processes together may cause.
+    """
+
+    body_bytes: int = 4_000_000
+    tasks_per_job: int = 160
+    connections: int = 1_000
+    mailbox: int = 20_000
+    view_size: int = 64
+    poll_budget_per_s: int = 400
+
+
+class Settings(NamedTuple):
+    """Settings in force."""
+
+    environment: str
+    place: Place
+    bus: str
+    http: str
+    table_url: str
+    table_timeout_s: float
+    reads_per_s: int
+    writes_per_s: int
+    slots: int
+    seed: int | None
+    log: str
+    timing: Timing
+    bounds: Bounds
+
+
+def check_address(text: str, source: str, path: str) -> None:
+    """Refuse an address that is not ``ip:port``."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        valid = 0 < int(port) < 65_536
+    except ValueError:
+        valid = False
+    if not valid:
+        raise InvalidInput(
+            source,
+            path,
+            f"{text!r} is no address",
+            "Give an IP number and a port, such as 127.0.0.1:7101.",
+        )
+
+
+def check_free(address: str, source: str, path: str) -> None:
+    """Refuse an address that another socket listens on."""
+    host, _, port = address.rpartition(":")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    with socket.socket(family) as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((host.strip("[]"), int(port)))
+        except OSError as error:
+            raise InvalidInput(
+                source,
+                path,
+                f"{address} cannot be used: {error.strerror}",
+                "Choose a free port, or stop the process that has it.",
+            ) from error
+
+
+def seconds(body: dict[str, Any]) -> dict[str, float]:
+    """Return values keyed ``…_ms`` in seconds, keyed ``…_s``.
+
+    Examples
+    --------
+    >>> seconds({"poll_interval_ms": 500})
+    {'poll_interval_s': 0.5}
+    """
+    return {key.removesuffix("_ms") + "_s": item / 1000 for key, item in body.items()}
+
+
+def settings_of(data: Any, source: str) -> Settings:
+    """Return checked settings.
+
+    Parameters
+    ----------
+    data : Any
+        Plain values of the YAML file.
+    source : str
+        The file's name, for errors.
+
+    Raises
+    ------
+    InvalidInput
+        With the key path and the remedy.
+    """
+    body = check(data, SettingsBody, source)
+    if body["environment"] not in ENVIRONMENTS:
+        raise InvalidInput(
+            source,
+            "environment",
+            f"no environment {body['environment']!r}",
+            f"Choose one of {', '.join(ENVIRONMENTS)}.",
+        )
+    for name in ("bus", "http"):
+        check_address(body["listen"][name], source, f"listen.{name}")
+    timing = Timing(**seconds(body.get("timing", {})))
+    if timing.pair_silence_s < 3 * timing.beat_interval_s:
+        raise InvalidInput(
+            source,
+            "timing.pair_silence_ms",
+            "is under three times beat_interval_ms",
+            "Raise it, so that one lost heartbeat does not move slots.",
+        )
+    table = body["table"]
+    return Settings(
+        environment=body["environment"],
+        place=Place(body["zone"], body["rack"], body["worker"]),
+        bus=body["listen"]["bus"],
+        http=body["listen"]["http"],
+        table_url=table["url"].rstrip("/"),
+        table_timeout_s=table.get("timeout_ms", 1000) / 1000,
+        reads_per_s=table.get("reads_per_s", 50),
+        writes_per_s=table.get("writes_per_s", 50),
+        slots=body.get("slots", 64),
+        seed=body.get("seed"),
+        log=body.get("log", "-"),
+        timing=timing,
+        bounds=Bounds(**body.get("bounds", {})),
+    )
+
+
+def load_settings(path: str) -> Settings:
+    """Return the settings of a file; its ports must be free.
+
+    Raises
+    ------
+    InvalidInput
+        With the file, the key path and the remedy.
+    """
+    settings = settings_of(load_yaml(path), path)
+    check_free(settings.bus, path, "listen.bus")
+    check_free(settings.http, path, "listen.http")
+    return settings
--- /dev/null
+++ b/hawthorntrack/state/table.py
@@ -0,0 +1,110 @@
+"""The platform's table as an abstract store with conditional writes."""
+
+from dataclasses import dataclass
+from typing import NamedTuple, Protocol
+
+from hawthorntrack.state.registry import Registry
+
+ABSENT = 0  # the version of a row that does not exist
+
+
+class Row(NamedTuple):
+    """A row as the table returns it; `value` is JSON text."""
+
+    key: str
+    version: int
+    value: bytes
+
+
+@dataclass(frozen=True)
+class Written:
+    """The write took effect and gave the row this version."""
+
+    version: int
+
+
+@dataclass(frozen=True)
+class Conflict:
+    """The row was at another version; `row` is None where it is absent."""
+
+    row: Row | None
+
+
+@dataclass(frozen=True)
+class Unsettled:
+    """No answer came: the write may have taken effect, or may yet do so."""
+
+    reason: str
+
+
+@dataclass(frozen=True)
+class Found:
+    """Rows of a read, in order of their keys."""
+
+    rows: tuple[Row, ...]
+
+
+@dataclass(frozen=True)
+class Unavailable:
+    """The table did not answer a read."""
+
+    reason: str
+
+
+WriteOutcome = Written | Conflict | Unsettled
+ReadOutcome = Found | Unavailable
+
+
+class Table(Protocol):
+    """Reads by prefix and conditional writes."""
+
+    async def read(self, prefix: str) -> ReadOutcome:
+        """Return all rows whose key starts with `prefix`."""
+
+    async def write(self, key: str, expect: int, value: bytes | None) -> WriteOutcome:
+        """Write a row if its version is `expect`; None deletes it."""
+
+
+tables: Registry[type[Table]] = Registry("table backend")
+
+
+@tables.register("memory")
+class MemoryTable:
+    """A table in memory, the store behind the stand-in and the tests.
+
+    Examples
+    --------
+    >>> import asyncio
+    >>> table = MemoryTable()
+    >>> asyncio.run(table.write("a", ABSENT, b"1"))
+    Written(version=1)
+    >>> asyncio.run(table.write("a", ABSENT, b"2"))
+    Conflict(row=Row(key='a', version=1, value=b'1'))
+    """
+
+    def __init__(self) -> None:
+        self.rows: dict[str, Row] = {}
+        self.last_version = 0
+
+    async def read(self, prefix: str) -> ReadOutcome:
+        """Return all rows whose key starts with `prefix`."""
+        keys = sorted(key for key in self.rows if key.startswith(prefix))
+        return Found(tuple(self.rows[key] for key in keys))
+
+    async def write(self, key: str, expect: int, value: bytes | None) -> WriteOutcome:
+        """Write a row if its version is `expect`; None deletes it."""
+        return self.apply(key, expect, value)
+
+    def apply(self, key: str, expect: int, value: bytes | None) -> WriteOutcome:
+        """Carry out a conditional write at once."""
+        row = self.rows.get(key)
+        if (row.version if row else ABSENT) != expect:
+            return Conflict(row)
+        # Versions come from one counter, so a deleted and remade row never
+        # shows a version that an old writer still holds.
+        self.last_version += 1
+        if value is None:
+            self.rows.pop(key, None)
+        else:
+            self.rows[key] = Row(key, self.last_version, value)
+        return Written(self.last_version)
