--- /dev/null
+++ b/hawthorntrack/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions as plain functions, and the tasks that act on them."""
--- /dev/null
+++ b/hawthorntrack/coordination/control.py
@@ -0,0 +1,320 @@
+"""The task that keeps a process's view of configuration and membership."""
+
+import random
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from eliot import log_message
+
+from hawthorntrack.coordination.pairing import Send
+from hawthorntrack.protocol import local, messages, rows
+from hawthorntrack.state.actor import Actor, handles
+from hawthorntrack.state.control import ControlView, apply_config
+from hawthorntrack.state.mailbox import Mailbox, Tick
+from hawthorntrack.state.metrics import BAD_INPUT, CONFIG_STAMP, RETRIES
+from hawthorntrack.state.settings import Settings
+from hawthorntrack.state.table import (
+    ABSENT,
+    Conflict,
+    Found,
+    Row,
+    Table,
+    Unsettled,
+    Written,
+)
+from hawthorntrack.state.values import GuardInfo, Incarnation
+
+ASK_PEER_PAUSE_S = 0.2
+JITTER = 0.2
+
+
+class Replaced(RuntimeError):
+    """Another life of this process has registered, or an operator forgot this one."""
+
+
+class Registration(NamedTuple):
+    """How far this process has come with its registration row.
+
+    Attributes
+    ----------
+    version : int
+        The table's version of the row this process wrote; 0 before that.
+    """
+
+    version: int = ABSENT
+    settled: bool = False
+
+
+class Poll(NamedTuple):
+    """One subject that is read again and again.
+
+    Attributes
+    ----------
+    due_at : float
+        Loop time of the next read, in seconds.
+    """
+
+    prefix: str
+    due_at: float = 0.0
+    running: bool = False
+
+
+def paced_interval_s(interval_s: float, processes: int, budget_per_s: int) -> float:
+    """Return the interval at which one of many processes may poll.
+
+    Explanation
+    -----------
+    The first process to see a change passes it on with every message it sends, so
+    the polls of all processes together decide how soon that is. They share the
+    table's budget, and the interval of each grows with their number.
+
+    Examples
+    --------
+    >>> paced_interval_s(0.5, 13, 400), paced_interval_s(0.5, 13_000, 400)
+    (0.5, 32.5)
+    """
+    return max(interval_s, processes / budget_per_s)
+
+
+class Control(Actor):
+    """Owns the view of one process and its registration.
+
+    Parameters
+    ----------
+    me : GuardInfo
+        This process.
+    prefix : str
+        Where it registers in the table.
+    settings : Settings
+        Its settings.
+    table : Table
+        The platform's table.
+    send : callable
+        Sends a message to an incarnation.
+    subscribers : list of Mailbox
+        Tasks that get each new view.
+    rng : random.Random
+        Source of chance, for jitter.
+    """
+
+    def __init__(
+        self,
+        me: GuardInfo,
+        prefix: str,
+        settings: Settings,
+        table: Table,
+        send: Send,
+        subscribers: list[Mailbox],
+        rng: random.Random,
+    ) -> None:
+        super().__init__(settings.bounds.mailbox)
+        self.me = me
+        self.key = prefix + me.incarnation.address
+        self.prefix = prefix
+        self.settings = settings
+        self.table = table
+        self.send = send
+        self.subscribers = subscribers
+        self.rng = rng
+        self.view = ControlView()
+        self.config_rows: tuple[Row, ...] = ()
+        self.registration = Registration()
+        self.registering = False
+        environment = settings.environment
+        self.polls = {
+            "config": Poll(rows.config_prefix(environment)),
+            "guards": Poll(rows.guards_prefix(environment)),
+            "slots": Poll(rows.slots_prefix(environment)),
+        }
+        self.answered: set[str] = set()
+        self.asked_at = float("-inf")
+        self.on_ready: Callable[[], None] = lambda: None
+
+    # --- polls
+
+    def interval_s(self, subject: str) -> float:
+        """Return how often a subject is read, in seconds."""
+        timing = self.settings.timing
+        base = (
+            timing.poll_interval_s if subject == "config" else timing.members_interval_s
+        )
+        budget = self.settings.bounds.poll_budget_per_s
+        return paced_interval_s(base, len(self.view.guards) + 1, budget)
+
+    @handles(Tick)
+    def poll_due(self, tick: Tick, sender: Incarnation) -> None:
+        """Read what is due, and register if that is not settled."""
+        now = self.now()
+        for subject, poll in self.polls.items():
+            if now >= poll.due_at and not poll.running:
+                self.poll(subject)
+        if not self.registration.settled and not self.registering:
+            self.register()
+
+    def poll(self, subject: str) -> None:
+        """Read one subject now."""
+        poll, now = self.polls[subject], self.now()
+        span = self.interval_s(subject) * self.rng.uniform(1 - JITTER, 1 + JITTER)
+        self.polls[subject] = poll._replace(running=True, due_at=now + span)
+        self.spawn(self.read(subject, poll.prefix, now))
+
+    async def read(self, subject: str, prefix: str, sent_at: float) -> None:
+        """Read rows and post what came of it."""
+        outcome = await self.table.read(prefix)
+        found = outcome.rows if isinstance(outcome, Found) else None
+        self.mailbox.post(local.PollAnswered(subject, sent_at, found))
+
+    @handles(local.PollAnswered)
+    def take_poll(self, answer: local.PollAnswered, sender: Incarnation) -> None:
+        """Take rows into the view, or note that the table did not answer."""
+        poll = self.polls[answer.subject]
+        self.polls[answer.subject] = poll._replace(running=False)
+        if answer.rows is None:
+            RETRIES.labels(reason="table_read_unavailable").inc()
+            self.publish(self.view._replace(failed_at=self.now()))
+            return
+        try:
+            view = self.taken(answer)
+        except ValueError as error:
+            BAD_INPUT.labels(edge="table", reason=answer.subject).inc()
+            log_message("table:bad_rows", subject=answer.subject, error=str(error))
+            return
+        self.answered.add(answer.subject)
+        self.publish(view)
+        if self.answered >= self.polls.keys() and self.registration.settled:
+            self.on_ready()
+
+    def taken(self, answer: local.PollAnswered) -> ControlView:
+        """Return the view with the rows of one poll."""
+        if answer.subject == "guards":
+            guards = rows.read_guards(answer.rows)
+            if self.prefix == self.polls["guards"].prefix:
+                self.check_own(guards.get(self.me.incarnation.address))
+            return self.view._replace(guards=guards)
+        if answer.subject == "slots":
+            return self.view._replace(slots=rows.read_slots(answer.rows))
+        view = self.with_config(answer.rows)
+        return view._replace(confirmed_at=max(view.confirmed_at, answer.sent_at))
+
+    def with_config(self, found: tuple[Row, ...]) -> ControlView:
+        """Return the view with configuration rows, keeping them for peers."""
+        view = apply_config(self.view, rows.read_config(found))
+        if view.stamp > self.view.stamp:
+            self.config_rows = found
+        return view
+
+    def publish(self, view: ControlView) -> None:
+        """Make a view the one in force, and tell the tasks that act on it."""
+        if view.stamp != self.view.stamp:
+            CONFIG_STAMP.set(view.stamp)
+            log_message(
+                "config:in_force",
+                process=str(self.me.incarnation),
+                stamp=view.stamp,
+                zones_out=",".join(sorted(view.zones_out)) or "none",
+            )
+        self.view = view
+        for mailbox in self.subscribers:
+            mailbox.post(local.ViewChanged(view))
+
+    # --- peers
+
+    @handles(local.StampSeen)
+    def notice(self, seen: local.StampSeen, sender: Incarnation) -> None:
+        """Ask a peer for the newer configuration that its message speaks of."""
+        if seen.stamp <= self.view.stamp:
+            return
+        if self.now() - self.asked_at < ASK_PEER_PAUSE_S:
+            return
+        self.asked_at = self.now()
+        self.send(seen.peer, messages.AskConfig())
+
+    @handles(messages.AskConfig)
+    def tell_config(self, ask: messages.AskConfig, sender: Incarnation) -> None:
+        """Give a peer the configuration rows held here."""
+        told = tuple((row.key, row.version, row.value) for row in self.config_rows)
+        self.send(sender, messages.ConfigRows(told))
+
+    @handles(messages.ConfigRows)
+    def take_config(self, told: messages.ConfigRows, sender: Incarnation) -> None:
+        """Take a peer's configuration rows, if they are newer."""
+        try:
+            self.publish(self.with_config(tuple(Row(*row) for row in told.rows)))
+        except ValueError as error:
+            BAD_INPUT.labels(edge="bus", reason="config_rows").inc()
+            log_message("config:bad_rows", error=str(error))
+
+    # --- registration
+
+    def register(self) -> None:
+        """Write this process's row over whatever stands there."""
+        self.registering = True
+        self.spawn(self.write_own(self.registration.version))
+
+    async def write_own(self, expect: int) -> None:
+        """Write the registration and post what came of it."""
+        outcome = await self.table.write(self.key, expect, rows.write_guard(self.me))
+        self.mailbox.post(local.Registered(outcome))
+
+    @handles(local.Registered)
+    def take_registered(self, done: local.Registered, sender: Incarnation) -> None:
+        """Settle the registration, or try again over the row that was met."""
+        self.registering = False
+        match done.outcome:
+            case Written(version):
+                self.registration = Registration(version, True)
+                self.poll("guards")
+            case Conflict(row):
+                self.registration = self.met(row)
+            case Unsettled():
+                RETRIES.labels(reason="registration_unsettled").inc()
+
+    def met(self, row: Row | None) -> Registration:
+        """Return the standing after a row was met in place of the one expected."""
+        if row is None:
+            return Registration(ABSENT)
+        mine = rows.read_guard(row) == self.me
+        return Registration(row.version, mine)
+
+    def check_own(self, row: GuardInfo | None) -> None:
+        """End this process if its registration was taken over or forgotten.
+
+        Raises
+        ------
+        Replaced
+            If the table shows another life at this address, or none.
+        """
+        if not self.registration.settled:
+            return
+        if row is None or row.incarnation != self.me.incarnation:
+            raise Replaced(
+                f"{self.me.incarnation} is no longer registered: an operator forgot"
+                " it or a new process has its address. Start it again if it is needed."
+            )
+
+    @handles(local.Drain)
+    def drain(self, drain: local.Drain, sender: Incarnation) -> None:
+        """Register this process as leaving."""
+        self.me = self.me._replace(draining=True)
+        self.registration = self.registration._replace(settled=False)
+        self.register()
+
+    async def deregister(self) -> None:
+        """Delete the registration, the last act of a process."""
+        await self.table.write(self.key, self.registration.version, None)
+
+    @handles(local.ShowStatus)
+    def show(self, ask: local.ShowStatus, sender: Incarnation) -> None:
+        """Give the status page what is in force."""
+        view = self.view
+        page: dict[str, Any] = {
+            "incarnation": str(self.me.incarnation),
+            "zone": self.me.place.zone,
+            "stamp": view.stamp,
+            "documents": {name: doc.version for name, doc in view.documents.items()},
+            "zones_out": sorted(view.zones_out),
+            "guards": len(view.guards),
+            "fresh": view.fresh(self.now(), self.settings.timing.freshness_s),
+        }
+        if not ask.reply.done():
+            ask.reply.set_result(page)
--- /dev/null
+++ b/hawthorntrack/coordination/executor.py
@@ -0,0 +1,447 @@
+"""The task that runs tasks on the target beside its guard."""
+
+import itertools
+from collections import OrderedDict, deque
+from typing import NamedTuple
+
+from eliot import log_message
+
+from hawthorntrack.coordination import health
+from hawthorntrack.coordination.pairing import Send
+from hawthorntrack.coordination.starting import StartScene, why_not
+from hawthorntrack.protocol import local, messages
+from hawthorntrack.protocol.bodies import AnnouncementBody
+from hawthorntrack.state.actor import Actor, handles
+from hawthorntrack.state.control import ControlView
+from hawthorntrack.state.mailbox import Mailbox, Tick
+from hawthorntrack.state.metrics import NOT_RUN, QUEUED, RUNNING, STARTS
+from hawthorntrack.state.settings import Settings
+from hawthorntrack.state.started import StartedTask, StartMemory, TaskName
+from hawthorntrack.state.targets import average
+from hawthorntrack.state.values import (
+    GuardInfo,
+    Incarnation,
+    TargetLoad,
+    TaskResult,
+    TaskSpec,
+)
+
+PERMIT_S = 0.25
+DEFAULT_RETENTION_S = 600
+DEFAULT_QUEUE = 4
+
+
+class QueuedTask(NamedTuple):
+    """A task that waits at the guard for a slot of the target."""
+
+    owner: Incarnation
+    job: str
+    key: str
+    index: int
+    attempt: int
+    spec: TaskSpec
+    deadline_at: float
+
+
+class Reservation(NamedTuple):
+    """An owner's request for permits that waits for slots."""
+
+    owner: Incarnation
+    job: str
+    count: int
+    until: float
+
+
+class Target(NamedTuple):
+    """The target as it announced itself.
+
+    Attributes
+    ----------
+    heard_at : float
+        Loop time of its newest announcement, in seconds.
+    """
+
+    body: AnnouncementBody
+    heard_at: float
+
+
+class Executor(Actor):
+    """Owns the slots of the target, and what was started there.
+
+    Parameters
+    ----------
+    me : GuardInfo
+        This guard.
+    settings : Settings
+        Its settings.
+    send : callable
+        Sends a message to an incarnation.
+    client : Mailbox
+        The task that calls the target.
+    beats : Mailbox
+        Told of the load.
+    drained : Mailbox
+        Told when nothing runs any more after a `Drain`.
+    """
+
+    def __init__(
+        self,
+        me: GuardInfo,
+        settings: Settings,
+        send: Send,
+        beats: Mailbox,
+        drained: Mailbox,
+    ) -> None:
+        super().__init__(settings.bounds.mailbox)
+        self.me = me
+        self.settings = settings
+        self.send = send
+        self.client: Mailbox | None = None
+        self.beats = beats
+        self.drained = drained
+        self.view = ControlView()
+        self.target: Target | None = None
+        self.health = health.Health()
+        self.memory = StartMemory()
+        self.running: dict[TaskName, TaskSpec] = {}
+        self.queue: OrderedDict[TaskName, QueuedTask] = OrderedDict()
+        self.permits: OrderedDict[str, tuple[Incarnation, float]] = OrderedDict()
+        self.reservations: deque[Reservation] = deque()
+        self.permit_numbers = itertools.count(1)
+        self.speed = 1.0
+        self.draining = False
+
+    # --- starting
+
+    @handles(messages.Start)
+    def start(self, message: messages.Start, sender: Incarnation) -> None:
+        """Start tasks, keep them waiting, or send them back unstarted."""
+        now = self.now()
+        back: dict[str, list[tuple[int, int]]] = {}
+        for item in message.tasks:
+            name = (message.service, message.key, item.index)
+            task = QueuedTask(
+                sender,
+                message.job,
+                message.key,
+                item.index,
+                item.attempt,
+                item.spec,
+                now + message.left_ms / 1000,
+            )
+            if name in self.queue or self.repeat(name):
+                continue
+            reason = self.accept(name, task, item.permit)
+            if reason is not None:
+                back.setdefault(reason, []).append((item.index, item.attempt))
+        for reason, tasks in back.items():
+            self.send_back(sender, message.job, message.service, tasks, reason)
+
+    def repeat(self, name: TaskName) -> bool:
+        """Return whether a task was started before; its result goes out again."""
+        known = self.memory.find(name)
+        if known is not None and known.result is not None:
+            self.report(name, known)
+        return known is not None
+
+    def accept(self, name: TaskName, task: QueuedTask, permit: str) -> str | None:
+        """Begin or queue a task; return the reason where it is sent back."""
+        if self.memory.renounced(name, task.attempt):
+            return "dropped"
+        reason = why_not(self.scene(task.deadline_at, name[0]), task.spec.kind)
+        if reason is None and permit:
+            if self.permits.pop(permit, None) is None:
+                reason = "permit_expired"
+            else:
+                self.begin(name, task)
+        elif reason is None and self.free() > 0 and not self.queue:
+            self.begin(name, task)
+        elif reason is None:
+            reason = self.enqueue(name, task)
+        return reason
+
+    def enqueue(self, name: TaskName, task: QueuedTask) -> str | None:
+        """Queue a task if there is room."""
+        document = self.view.documents.get(name[0])
+        bound = document.guard_queue if document else DEFAULT_QUEUE
+        if len(self.queue) >= bound:
+            return "queue_full"
+        self.queue[name] = task
+        return None
+
+    def begin(self, name: TaskName, task: QueuedTask) -> None:
+        """Start a task on the target; from here on it may have run."""
+        self.memory.start(name, StartedTask(task.owner, task.job, self.now()))
+        self.running[name] = task.spec
+        self.health = health.begin(self.health)
+        STARTS.inc()
+        address = self.target.body["address"]
+        self.client.post(local.RunTask(name, address, task.key, task.index, task.spec))
+
+    def scene(self, deadline_at: float, service: str) -> StartScene:
+        """Return what decides whether a task may start now."""
+        now = self.now()
+        target = self.target
+        body = target.body if target else None
+        has_target = (
+            target is not None
+            and now - target.heard_at <= self.settings.timing.target_ttl_s
+            and body["service"] == service
+        )
+        zones = {self.me.place.zone} | ({body["zone"]} if body else set())
+        return StartScene(
+            fresh=self.view.fresh(now, self.settings.timing.freshness_s),
+            zone_out=bool(zones & self.view.zones_out),
+            draining=self.draining,
+            has_target=has_target,
+            leaving=bool(body and body.get("leaving", False)),
+            kinds=frozenset(body["kinds"]) if body else frozenset(),
+            ejected=self.health.ejected_until > now,
+            late=now >= deadline_at,
+        )
+
+    def free(self) -> int:
+        """Return how many more tasks the target may be given now."""
+        slots = self.target.body["slots"] if self.target else 0
+        allowed = health.capacity(self.health, slots, self.now())
+        return allowed - len(self.running) - len(self.permits)
+
+    def send_back(
+        self,
+        owner: Incarnation,
+        job: str,
+        service: str,
+        tasks: list[tuple[int, int]],
+        reason: str,
+    ) -> None:
+        """Tell an owner of tasks that were not started and never will be."""
+        NOT_RUN.labels(reason=f"guard_{reason}").inc(len(tasks))
+        load = self.load(service)
+        self.send(owner, messages.NotRun(job, tuple(tasks), reason, load))
+
+    # --- results
+
+    @handles(local.TargetAnswered)
+    def finish(self, answered: local.TargetAnswered, sender: Incarnation) -> None:
+        """Report a result and give its slot to the next task."""
+        spec = self.running.pop(answered.name)
+        now = self.now()
+        key = answered.name[1]
+        self.health = health.after_result(self.health, key, answered.spoiled, now)
+        if self.health.ejected_until > now:
+            log_message(
+                "target:ejected",
+                process=str(self.me.incarnation),
+                until=self.health.ejected_until,
+            )
+        if answered.ok and answered.run_ms > 0:
+            self.speed = average(self.speed, spec.size_ms / answered.run_ms)
+        result = TaskResult(
+            answered.name[2], answered.ok, answered.output, round(answered.run_ms, 2)
+        )
+        self.fill()
+        self.report(answered.name, self.memory.finish(answered.name, result))
+
+    def report(self, name: TaskName, task: StartedTask) -> None:
+        """Send a result to its owner."""
+        load = self.load(name[0])
+        self.send(task.owner, messages.Done(task.job, (task.result,), load))
+
+    def fill(self) -> None:
+        """Give free slots to queued tasks, then to reservations."""
+        while self.queue and self.free() > 0:
+            name, task = self.queue.popitem(last=False)
+            reason = why_not(self.scene(task.deadline_at, name[0]), task.spec.kind)
+            if reason is None:
+                self.begin(name, task)
+            else:
+                self.drop(name, task, reason)
+        while self.reservations and self.free() > 0:
+            self.grant(self.reservations.popleft())
+
+    def drop(self, name: TaskName, task: QueuedTask, reason: str) -> None:
+        """Send a queued task back, and never start that attempt."""
+        self.memory.renounce(name, task.attempt, self.now())
+        tasks = [(task.index, task.attempt)]
+        self.send_back(task.owner, task.job, name[0], tasks, reason)
+
+    # --- permits
+
+    @handles(messages.Reserve)
+    def reserve(self, ask: messages.Reserve, sender: Incarnation) -> None:
+        """Grant permits now, or when slots come free."""
+        until = self.now() + ask.wait_ms / 1000
+        wanted = Reservation(sender, ask.job, ask.count, until)
+        if self.free() > 0 and not self.queue:
+            self.grant(wanted)
+        else:
+            self.reservations.append(wanted)
+
+    def grant(self, wanted: Reservation) -> None:
+        """Grant as many permits as there are slots; keep the rest waiting."""
+        service = self.target.body["service"] if self.target else ""
+        scene = self.scene(wanted.until, service)
+        if why_not(scene, next(iter(scene.kinds), "")) is not None:
+            return
+        count = min(wanted.count, self.free())
+        granted = tuple(str(next(self.permit_numbers)) for _ in range(count))
+        until = self.now() + PERMIT_S
+        self.permits.update((permit, (wanted.owner, until)) for permit in granted)
+        self.send(wanted.owner, messages.Grant(wanted.job, granted, self.load(service)))
+        if wanted.count > count:
+            self.reservations.appendleft(wanted._replace(count=wanted.count - count))
+
+    @handles(messages.Release)
+    def release(self, release: messages.Release, sender: Incarnation) -> None:
+        """Take permits back and drop the job's waiting request."""
+        for permit in release.permits:
+            if self.permits.get(permit, (None,))[0] == sender:
+                del self.permits[permit]
+        self.reservations = deque(
+            wanted
+            for wanted in self.reservations
+            if (wanted.owner, wanted.job) != (sender, release.job)
+        )
+        self.fill()
+
+    # --- questions
+
+    @handles(messages.Probe)
+    def answer_probe(self, probe: messages.Probe, sender: Incarnation) -> None:
+        """Say what became of tasks; those not started are then never started."""
+        back = []
+        for index, attempt in probe.tasks:
+            name = (probe.service, probe.key, index)
+            if name in self.queue and not probe.drop:
+                continue
+            if name in self.running and probe.drop:
+                self.client.post(local.StopTask(name))
+            if not self.repeat(name):
+                self.queue.pop(name, None)
+                self.memory.renounce(name, attempt, self.now())
+                back.append((index, attempt))
+        if back:
+            reason = "dropped" if probe.drop else "never_arrived"
+            if not probe.drop:
+                self.send_back(sender, probe.job, probe.service, back, reason)
+        self.fill()
+
+    # --- the target
+
+    @handles(local.Announced)
+    def announce(self, announced: local.Announced, sender: Incarnation) -> None:
+        """Take a target's announcement, unless another target is here."""
+        body, now = announced.body, self.now()
+        known = self.target
+        taken = (
+            known is not None
+            and known.body["address"] != body["address"]
+            and now - known.heard_at <= self.settings.timing.target_ttl_s
+        )
+        if taken:
+            answer = (
+                f"Target {known.body['address']} is here: stop it first, or announce"
+                " to the guard beside the new one."
+            )
+        else:
+            answer = None
+            self.welcome(body, now)
+        if not announced.reply.done():
+            announced.reply.set_result(answer)
+
+    def welcome(self, body: AnnouncementBody, now: float) -> None:
+        """Take a target's announcement in; a new target starts with no history."""
+        known = self.target
+        if known is None or known.body["address"] != body["address"]:
+            self.health = health.Health()
+            self.client.post(local.SetConnections(body["connections"]))
+            log_message(
+                "target:announced",
+                process=str(self.me.incarnation),
+                address=body["address"],
+                service=body["service"],
+                slots=body["slots"],
+            )
+        self.target = Target(body, now)
+        if known is None or known.body != body:
+            self.tell_load()
+        self.fill()
+
+    def load(self, service: str) -> TargetLoad:
+        """Return the load of the target, with no slots where it takes no work."""
+        body = self.target.body if self.target else None
+        if body is None or body["service"] != service:
+            return TargetLoad(service, (), 0, 0, 0, self.speed)
+        scene = self.scene(float("inf"), service)
+        open_now = why_not(scene, body["kinds"][0]) is None
+        slots = health.capacity(self.health, body["slots"], self.now())
+        return TargetLoad(
+            service,
+            tuple(body["kinds"]),
+            slots if open_now else 0,
+            len(self.running) + len(self.permits),
+            len(self.queue),
+            self.speed,
+        )
+
+    def tell_load(self) -> None:
+        """Tell the heartbeat task the load."""
+        target = self.target
+        ttl_s = self.settings.timing.target_ttl_s
+        lives = target is not None and self.now() - target.heard_at <= ttl_s
+        loads = (self.load(target.body["service"]),) if lives else ()
+        self.beats.post(local.LoadChanged(loads))
+
+    # --- upkeep
+
+    @handles(local.ViewChanged)
+    def take_view(self, change: local.ViewChanged, sender: Incarnation) -> None:
+        """Take a new view; send queued tasks back if the zone is out."""
+        self.view = change.view
+        self.clear_queue()
+
+    def clear_queue(self) -> None:
+        """Send queued tasks back that may no longer start here."""
+        for name, task in list(self.queue.items()):
+            reason = why_not(self.scene(task.deadline_at, name[0]), task.spec.kind)
+            if reason is not None and reason != "stale_view":
+                del self.queue[name]
+                self.drop(name, task, reason)
+
+    @handles(local.Drain)
+    def drain(self, drain: local.Drain, sender: Incarnation) -> None:
+        """Start nothing more; what runs is finished."""
+        self.draining = True
+        self.clear_queue()
+
+    @handles(Tick)
+    def keep_up(self, tick: Tick, sender: Incarnation) -> None:
+        """Expire permits, reservations and memory; tell the load."""
+        now = self.now()
+        for permit in [p for p, (_, until) in self.permits.items() if until < now]:
+            del self.permits[permit]
+        if self.reservations:
+            kept = (wanted for wanted in self.reservations if wanted.until > now)
+            self.reservations = deque(kept)
+        spans = [document.retention_s for document in self.view.documents.values()]
+        self.memory.expire(now, max(spans, default=DEFAULT_RETENTION_S))
+        self.clear_queue()
+        self.fill()
+        self.tell_load()
+        RUNNING.set(len(self.running))
+        QUEUED.labels(where="guard").set(len(self.queue))
+        if self.draining and not self.running:
+            self.drained.post(local.Drained("executor"))
+
+    @handles(local.ShowStatus)
+    def show(self, ask: local.ShowStatus, sender: Incarnation) -> None:
+        """Give the status page the target and what runs there."""
+        target = dict(self.target.body) if self.target else None
+        page = {
+            "target": target,
+            "running": len(self.running),
+            "queued": len(self.queue),
+            "ejected": self.health.ejected_until > self.now(),
+        }
+        if not ask.reply.done():
+            ask.reply.set_result(page)
--- /dev/null
+++ b/hawthorntrack/coordination/router.py
@@ -0,0 +1,319 @@
+"""The task by which an entry instance gets jobs to the owners of their slots."""
+
+import asyncio
+import itertools
+from typing import Any, NamedTuple
+
+from eliot import log_message
+
+from hawthorntrack.coordination.admission import settle_deadline
+from hawthorntrack.coordination.pairing import Send
+from hawthorntrack.protocol import local, messages
+from hawthorntrack.state.actor import Actor, handles
+from hawthorntrack.state.control import ControlView
+from hawthorntrack.state.hashing import slot_of
+from hawthorntrack.state.mailbox import Mailbox, Tick
+from hawthorntrack.state.metrics import REFUSALS, RESPONSE_RATIO, RETRIES
+from hawthorntrack.state.outcomes import (
+    DEADLINE_PASSED,
+    DRAINING,
+    NO_OWNER,
+    OWNER_LOST,
+    SLOT_MOVING,
+    STALE_VIEW,
+    UNKNOWN_SERVICE,
+    fail,
+    refuse,
+)
+from hawthorntrack.state.settings import Settings
+from hawthorntrack.state.values import Answer, Incarnation, JobSpec, SlotRow
+
+RETRY_PAUSE_S = 0.03
+GRACE_S = 0.25  # an owner's own answer at the deadline may still be on its way
+LOOK_UP_LIMIT_S = 2.0
+# Refusals that another try within the deadline can mend.
+PASSING = {SLOT_MOVING.name, STALE_VIEW.name, DRAINING.name}
+
+
+class Request(NamedTuple):
+    """A caller's job under way.
+
+    Attributes
+    ----------
+    reply : asyncio.Future
+        Gets the answer.
+    deadline_at : float
+        Loop time in seconds.
+    sent_to : Incarnation or None
+        The owner that has it now; None while it waits to be sent.
+    unsure : frozenset of Incarnation
+        Owners that got it and have not said that they refuse it.
+    heard_at, asked_at : float
+        Loop times of the owner's last word on it, and of the last inquiry.
+    send_at : float
+        Loop time from which it may be sent again.
+    """
+
+    number: str
+    job: JobSpec
+    slot: int
+    reply: asyncio.Future[Answer]
+    begun_at: float
+    deadline_at: float
+    sent_to: Incarnation | None = None
+    unsure: frozenset[Incarnation] = frozenset()
+    heard_at: float = 0.0
+    asked_at: float = 0.0
+    send_at: float = 0.0
+
+
+class Question(NamedTuple):
+    """A caller's question about a job under way."""
+
+    reply: asyncio.Future[Answer]
+    deadline_at: float
+
+
+class Router(Actor):
+    """Owns the requests of one entry instance.
+
+    Parameters
+    ----------
+    me : Incarnation
+        This entry instance.
+    settings : Settings
+        Its settings.
+    send : callable
+        Sends a message to an incarnation.
+    drained : Mailbox
+        Told when no request is left after a `Drain`.
+    """
+
+    def __init__(
+        self, me: Incarnation, settings: Settings, send: Send, drained: Mailbox
+    ) -> None:
+        super().__init__(settings.bounds.mailbox)
+        self.me = me
+        self.settings = settings
+        self.send = send
+        self.drained = drained
+        self.view = ControlView()
+        self.rows: dict[int, SlotRow] = {}
+        self.requests: dict[str, Request] = {}
+        self.questions: dict[str, Question] = {}
+        self.numbers = itertools.count(1)
+        self.draining = False
+
+    # --- the way in
+
+    @handles(local.Ask)
+    def ask(self, ask: local.Ask, sender: Incarnation) -> None:
+        """Take a caller's job and send it to its owner."""
+        document = self.view.documents.get(ask.job.service)
+        if self.draining or document is None:
+            refusal = refuse(DRAINING if self.draining else UNKNOWN_SERVICE)
+            REFUSALS.labels(kind=refusal.kind).inc()
+            settle(ask.reply, refusal)
+            return
+        job, now = settle_deadline(ask.job, document), self.now()
+        number = str(next(self.numbers))
+        slot = slot_of(job.service, job.key, self.settings.slots)
+        deadline_at = now + job.deadline_ms / 1000
+        self.requests[number] = Request(number, job, slot, ask.reply, now, deadline_at)
+        self.dispatch(self.requests[number])
+
+    def owner(self, slot: int) -> Incarnation | None:
+        """Return the open owner of a slot, as far as this process knows."""
+        row = self.rows.get(slot)
+        return row.owner if row is not None and row.formed else None
+
+    def dispatch(self, request: Request) -> None:
+        """Send a request to its owner, or let it wait for one."""
+        now, owner = self.now(), self.owner(request.slot)
+        if owner is None:
+            pause = now + RETRY_PAUSE_S
+            self.requests[request.number] = request._replace(
+                sent_to=None, send_at=pause
+            )
+            return
+        left_ms = max(1, int((request.deadline_at - now) * 1000))
+        job = request.job._replace(deadline_ms=left_ms)
+        self.requests[request.number] = request._replace(
+            sent_to=owner,
+            unsure=request.unsure | {owner},
+            heard_at=now,
+            asked_at=now,
+        )
+        self.send(owner, messages.Submit(request.number, request.slot, job))
+
+    # --- answers
+
+    @handles(messages.Answered)
+    def take_answer(self, answered: messages.Answered, sender: Incarnation) -> None:
+        """Give an answer to its caller, or try again after a passing refusal."""
+        if answered.row is not None:
+            self.learn(answered)
+        question = self.questions.pop(answered.request, None)
+        if question is not None:
+            settle(question.reply, answered.answer)
+            return
+        request = self.requests.get(answered.request)
+        if request is None:
+            return
+        if answered.answer.status == "refused":
+            self.take_refusal(request, answered.answer, sender)
+        else:
+            self.finish(request, answered.answer)
+
+    def learn(self, answered: messages.Answered) -> None:
+        """Take a slot's row that a guard knows and this process may not."""
+        request = self.requests.get(answered.request)
+        if request is None:
+            return
+        known = self.rows.get(request.slot)
+        if known is None or known.version < answered.row.version:
+            self.rows[request.slot] = answered.row
+
+    def take_refusal(
+        self, request: Request, answer: Answer, sender: Incarnation
+    ) -> None:
+        """Try again after a passing refusal; otherwise tell the caller truly."""
+        unsure = request.unsure - {sender}
+        request = request._replace(unsure=unsure)
+        now = self.now()
+        if answer.kind in PASSING and now + RETRY_PAUSE_S < request.deadline_at:
+            RETRIES.labels(reason=answer.kind).inc()
+            if request.sent_to == sender:
+                request = request._replace(sent_to=None, send_at=now + RETRY_PAUSE_S)
+            self.requests[request.number] = request
+        elif unsure:
+            self.finish(request, fail(OWNER_LOST, "maybe", answer.detail))
+        else:
+            self.finish(request, answer)
+
+    def finish(self, request: Request, answer: Answer) -> None:
+        """Give a request its one answer."""
+        self.requests.pop(request.number, None)
+        if answer.status == "refused":
+            REFUSALS.labels(kind=answer.kind).inc()
+        elif answer.status == "complete":
+            longest_ms = max(result.run_ms for result in answer.results)
+            spent_ms = (self.now() - request.begun_at) * 1000
+            RESPONSE_RATIO.observe(spent_ms / max(longest_ms, 1.0))
+        log_message(
+            "request:answered",
+            process=str(self.me),
+            service=request.job.service,
+            job=request.job.key,
+            status=answer.status,
+            kind=answer.kind,
+        )
+        settle(request.reply, answer)
+
+    @handles(messages.Pending)
+    def still_pending(self, pending: messages.Pending, sender: Incarnation) -> None:
+        """Go on waiting for an owner that still has the job."""
+        request = self.requests.get(pending.request)
+        if request is not None and request.sent_to == sender:
+            self.requests[request.number] = request._replace(heard_at=self.now())
+
+    @handles(messages.Unheard)
+    def submit_again(self, unheard: messages.Unheard, sender: Incarnation) -> None:
+        """Submit again to an owner that never got the job."""
+        request = self.requests.get(unheard.request)
+        if request is not None and request.sent_to == sender:
+            RETRIES.labels(reason="owner_unheard").inc()
+            self.dispatch(request)
+
+    # --- questions
+
+    @handles(local.AskKnown)
+    def ask_known(self, ask: local.AskKnown, sender: Incarnation) -> None:
+        """Pass a caller's question or cancellation on to the job's owner."""
+        slot = slot_of(ask.service, ask.key, self.settings.slots)
+        owner = self.owner(slot)
+        if owner is None:
+            settle(ask.reply, refuse(SLOT_MOVING))
+            return
+        number = str(next(self.numbers))
+        limit = self.now() + LOOK_UP_LIMIT_S
+        self.questions[number] = Question(ask.reply, limit)
+        kind = messages.CancelJob if ask.cancel else messages.LookUp
+        self.send(owner, kind(number, slot, ask.service, ask.key))
+
+    # --- upkeep
+
+    @handles(local.ViewChanged)
+    def take_view(self, change: local.ViewChanged, sender: Incarnation) -> None:
+        """Take a new view and the slot rows that are newer than those known."""
+        self.view = change.view
+        for slot, row in change.view.slots.items():
+            known = self.rows.get(slot)
+            if known is None or known.version < row.version:
+                self.rows[slot] = row
+
+    @handles(Tick)
+    def keep_up(self, tick: Tick, sender: Incarnation) -> None:
+        """Send what waits, inquire after what is silent, end what is late."""
+        now = self.now()
+        for request in list(self.requests.values()):
+            if now >= request.deadline_at + (GRACE_S if request.unsure else 0):
+                self.run_out(request)
+            elif request.sent_to is None:
+                if now >= request.send_at:
+                    self.dispatch(request)
+            else:
+                self.watch(request, now)
+        late = [n for n, q in self.questions.items() if now >= q.deadline_at]
+        for number in late:
+            settle(self.questions.pop(number).reply, refuse(NO_OWNER))
+        if self.draining and not self.requests:
+            self.drained.post(local.Drained("router"))
+
+    def run_out(self, request: Request) -> None:
+        """Answer a request whose deadline has passed."""
+        if request.unsure:
+            self.finish(request, fail(DEADLINE_PASSED, "maybe"))
+        else:
+            self.finish(request, refuse(NO_OWNER))
+
+    def watch(self, request: Request, now: float) -> None:
+        """Inquire after a request; turn to a new owner where the old is silent."""
+        timing = self.settings.timing
+        owner = self.owner(request.slot)
+        silent = now - request.heard_at > timing.inquire_s + timing.pair_silence_s / 3
+        if silent and owner not in (None, request.sent_to):
+            RETRIES.labels(reason="owner_silent").inc()
+            self.dispatch(request)
+        elif now - request.asked_at > timing.inquire_s:
+            self.requests[request.number] = request._replace(asked_at=now)
+            self.send(
+                request.sent_to,
+                messages.Inquire(
+                    request.number,
+                    request.slot,
+                    request.job.service,
+                    request.job.key,
+                ),
+            )
+
+    @handles(local.Drain)
+    def drain(self, drain: local.Drain, sender: Incarnation) -> None:
+        """Refuse new requests; those under way are finished."""
+        self.draining = True
+
+    @handles(local.ShowStatus)
+    def show(self, ask: local.ShowStatus, sender: Incarnation) -> None:
+        """Give the status page the requests under way and the slots' owners."""
+        page: dict[str, Any] = {
+            "requests": len(self.requests),
+            "slots_open": sum(row.formed for row in self.rows.values()),
+        }
+        if not ask.reply.done():
+            ask.reply.set_result(page)
+
+
+def settle(reply: asyncio.Future[Answer], answer: Answer) -> None:
+    """Give an answer to whoever still waits for it."""
+    if not reply.done():
+        reply.set_result(answer)
--- /dev/null
+++ b/hawthorntrack/coordination/runner.py
@@ -0,0 +1,505 @@
+"""The task that places an owner's admitted jobs on guards."""
+
+import asyncio
+import itertools
+import random
+from collections.abc import Callable, Iterable
+from typing import Any, NamedTuple
+
+from eliot import log_message
+
+from hawthorntrack.coordination.admission import LoadView, admit
+from hawthorntrack.coordination.fairness import FairOrder
+from hawthorntrack.coordination.placement import (
+    Choice,
+    Policy,
+    Scene,
+    WaitingTask,
+    policies,
+)
+from hawthorntrack.coordination.retries import after_not_run, new_budget
+from hawthorntrack.protocol import local, messages
+from hawthorntrack.state.actor import Actor, handles
+from hawthorntrack.state.control import ControlView
+from hawthorntrack.state.documents import Document
+from hawthorntrack.state.fleet import Fleet
+from hawthorntrack.state.jobs import RUNNING, Job, TaskState
+from hawthorntrack.state.mailbox import Mailbox, Tick
+from hawthorntrack.state.metrics import FAILURES, JOBS, NOT_RUN, QUEUED, RETRIES
+from hawthorntrack.state.outcomes import (
+    CANCELLED,
+    DEADLINE_PASSED,
+    GUARD_LOST,
+    NOT_PLACED,
+    RETRIES_EXHAUSTED,
+    TASK_FAILED,
+    UNKNOWN_SERVICE,
+    OutcomeKind,
+    fail,
+    refuse,
+)
+from hawthorntrack.state.settings import Settings
+from hawthorntrack.state.targets import GuardView
+from hawthorntrack.state.values import Answer, Incarnation, TaskResult
+
+PROBE_AFTER_S = 1.0
+LOST_AFTER_S = 2.0  # a guard that left may have results on their way
+ASK_AGAIN_S = 1.0
+RESERVE_WAIT_MS = 1_000
+BATCH_MAX_TASKS = 1_000
+AVOIDED_GUARDS = 3
+
+
+class PlaceNow(NamedTuple):
+    """Give waiting tasks their places."""
+
+
+class JobRunner(Actor):
+    """Owns the jobs of one guard's slots, from offer to answer.
+
+    Parameters
+    ----------
+    me : Incarnation
+        This guard.
+    settings : Settings
+        The guard's settings.
+    send : callable
+        Sends a message to an incarnation.
+    rng : random.Random
+        Source of chance for policies.
+    """
+
+    def __init__(
+        self,
+        me: Incarnation,
+        settings: Settings,
+        send: Callable[[Incarnation, Any], None],
+        rng: random.Random,
+    ) -> None:
+        super().__init__(settings.bounds.mailbox)
+        self.me = me
+        self.settings = settings
+        self.send = send
+        self.rng = rng
+        self.keeper: Mailbox | None = None
+        self.view = ControlView()
+        self.fleet = Fleet()
+        self.order = FairOrder()
+        self.jobs: dict[int, Job] = {}
+        self.budget = new_budget()
+        self.serving: set[Incarnation] = set()
+        self.missing: dict[Incarnation, float] = {}
+        self.asked: dict[int, float] = {}
+        self.place_posted = False
+
+    # --- the way in
+
+    @handles(local.Offer)
+    def consider(self, offer: local.Offer, sender: Incarnation) -> None:
+        """Take a job or refuse it, before its key is noted."""
+        document = self.view.documents.get(offer.job.service)
+        if document is None:
+            refusal = refuse(UNKNOWN_SERVICE)
+        else:
+            refusal = admit(self.load_for(offer), document, offer.job)
+        if refusal is None:
+            deadline_at = self.now() + offer.job.deadline_ms / 1000
+            job = Job(offer.token, offer.slot, offer.job, deadline_at)
+            self.jobs[offer.token] = job
+        self.keeper.post(local.Offered(offer.token, offer.slot, refusal))
+
+    def load_for(self, offer: local.Offer) -> LoadView:
+        """Return the load that decides on an offered job."""
+        guards = self.guards(offer.job.service)
+        share = self.owned_share()
+        queued = sum(len(job.waiting) for job in self.jobs.values())
+        at_guards = sum(guard.load.queued for guard in guards)
+        return LoadView(
+            kinds=frozenset(kind for guard in guards for kind in guard.load.kinds),
+            queued_tasks=queued,
+            customer_tasks=sum(
+                job.unfinished
+                for job in self.jobs.values()
+                if job.spec.customer == offer.job.customer
+            ),
+            owned_share=share,
+            work_ahead_ms=(queued / share + at_guards) * self.fleet.mean_ms,
+            slots=sum(guard.load.slots for guard in guards),
+        )
+
+    def owned_share(self) -> float:
+        """Return the share of all slots that this guard owns, at least one slot's."""
+        owned = sum(row.owner == self.me for row in self.view.slots.values())
+        return max(1, owned) / self.settings.slots
+
+    @handles(local.Withdraw)
+    def withdraw(self, withdrawn: local.Withdraw, sender: Incarnation) -> None:
+        """Drop a job that was taken but not admitted."""
+        self.jobs.pop(withdrawn.token, None)
+
+    @handles(local.Admit)
+    def begin(self, admitted: local.Admit, sender: Incarnation) -> None:
+        """Run a job whose key the witness remembers."""
+        job = self.jobs[admitted.token]
+        job.move("admit")
+        log_message(
+            "job:admitted",
+            process=str(self.me),
+            service=job.spec.service,
+            job=job.spec.key,
+            customer=job.spec.customer,
+            tasks=len(job.tasks),
+        )
+        self.request_place()
+
+    # --- placing
+
+    def request_place(self) -> None:
+        """Have waiting tasks placed once the messages at hand are read."""
+        if not self.place_posted:
+            self.place_posted = self.mailbox.post(PlaceNow())
+
+    @handles(PlaceNow)
+    def place(self, now: PlaceNow, sender: Incarnation) -> None:
+        """Place waiting tasks of each service by its policy."""
+        self.place_posted = False
+        services = {job.spec.service for job in self.jobs.values() if job.waiting}
+        for service in sorted(services & self.view.documents.keys()):
+            self.place_service(self.view.documents[service])
+
+    def place_service(self, document: Document) -> None:
+        """Place waiting tasks of one service."""
+        guards = self.guards(document.service)
+        policy = policies[document.policy]
+        if not guards:
+            return
+        room = sum(
+            max(0, guard.free + document.guard_queue)
+            for guard in guards
+            if guard.load.slots
+        )
+        limit = min(BATCH_MAX_TASKS, room if not policy.late_binding else 10**9)
+        tasks = self.in_fair_order(document, limit, policy)
+        if not tasks:
+            return
+        scene = Scene(
+            guards,
+            self.fleet.slowness,
+            self.fleet.mean_ms,
+            self.settings.place.zone,
+            document.guard_queue,
+            self.rng,
+        )
+        choices = policy.choose(scene, tasks)
+        send = self.ask_permits if policy.late_binding else self.start
+        by_batch = sorted(choices, key=batch_of)
+        for (token, guard), batch in itertools.groupby(by_batch, key=batch_of):
+            send(self.jobs[token], guard, list(batch))
+        self.count_served(document, choices)
+
+    def in_fair_order(
+        self, document: Document, limit: int, policy: Policy
+    ) -> list[WaitingTask]:
+        """Return tasks that may be placed now, customers taking turns."""
+        now = self.now()
+        queues: dict[str, list[WaitingTask]] = {}
+        for job in self.jobs.values():
+            spec = job.spec
+            due = spec.service == document.service and job.state == RUNNING
+            if not due or (policy.late_binding and job.token in self.asked):
+                continue
+            queue = queues.setdefault(spec.customer, [])
+            if len(queue) < limit:
+                queue.extend(waiting_tasks(job, now))
+        weights = {name: document.customer(name).weight for name in queues}
+        return list(itertools.islice(self.order.interleave(queues, weights), limit))
+
+    def count_served(self, document: Document, choices: Iterable[Choice]) -> None:
+        """Count placed tasks against their customers' shares."""
+        waiting = {job.spec.customer for job in self.jobs.values() if job.waiting}
+        for choice in choices:
+            job = self.jobs.get(choice.task.token)
+            if job is not None:
+                name = job.spec.customer
+                weight = document.customer(name).weight
+                self.order.count(name, weight, sorted(waiting | {name}))
+
+    def start(self, job: Job, guard: Incarnation, batch: list[Choice]) -> None:
+        """Send tasks of a job to a guard, in one message."""
+        indices = [choice.task.index for choice in batch]
+        self.send_start(job, guard, [(index, "") for index in indices])
+
+    def send_start(
+        self, job: Job, guard: Incarnation, items: list[tuple[int, str]]
+    ) -> None:
+        """Send a start message for tasks, each with its permit or none."""
+        now = self.now()
+        tasks = []
+        for index, permit in items:
+            before = job.tasks[index]
+            job.tasks[index] = before._replace(
+                guard=guard, attempt=before.attempt + 1, sent_at=now, probed_at=now
+            )
+            del job.waiting[index]
+            if before.attempt == 0:
+                document = self.view.documents[job.spec.service]
+                self.budget.earn(document.budget_ratio)
+            tasks.append(
+                messages.StartTask(
+                    index, before.attempt + 1, job.spec.tasks[index], permit
+                )
+            )
+        self.fleet.sending(guard, len(tasks), now)
+        left_ms = max(1, int((job.deadline_at - now) * 1000))
+        spec = job.spec
+        self.send(
+            guard,
+            messages.Start(job.name, spec.service, spec.key, left_ms, tuple(tasks)),
+        )
+
+    def ask_permits(self, job: Job, guard: Incarnation, batch: list[Choice]) -> None:
+        """Ask a guard for as many permits as the policy wants there."""
+        self.asked[job.token] = self.now()
+        left_ms = int((job.deadline_at - self.now()) * 1000)
+        wait_ms = max(1, min(RESERVE_WAIT_MS, left_ms))
+        self.send(
+            guard,
+            messages.Reserve(job.name, job.spec.service, len(batch), wait_ms),
+        )
+
+    @handles(messages.Grant)
+    def use_permits(self, grant: messages.Grant, sender: Incarnation) -> None:
+        """Start waiting tasks on permits; give back what is left over."""
+        self.fleet.loaded(sender, grant.load, self.now())
+        job = self.jobs.get(int(grant.job))
+        waiting = list(job.waiting) if job and job.state == RUNNING else []
+        items = list(zip(waiting, grant.permits, strict=False))
+        if items:
+            self.send_start(job, sender, items)
+        spare = grant.permits[len(items) :]
+        if spare or not (job and job.waiting):
+            self.send(sender, messages.Release(grant.job, spare))
+
+    # --- what guards send back
+
+    @handles(messages.Done)
+    def finish(self, done: messages.Done, sender: Incarnation) -> None:
+        """Take results; end the job on its last one, or on a failed one."""
+        self.fleet.loaded(sender, done.load, self.now())
+        self.request_place()
+        job = self.jobs.get(int(done.job))
+        if job is None:
+            return
+        taken = [item for item in done.results if is_out(job, item.index, sender)]
+        for result in taken:
+            self.take_result(job, sender, result)
+        failed = [result for result in taken if not result.ok]
+        if failed:
+            text = failed[0].output.decode("utf-8", "replace")[:200]
+            detail = f"Task {failed[0].index}: {text}."
+            self.end(job, fail(TASK_FAILED, "yes", detail))
+        elif job.unfinished == 0:
+            results = tuple(task.result for task in job.tasks)
+            self.end(job, Answer("complete", "", "yes", "", results))
+
+    def take_result(self, job: Job, guard: Incarnation, result: TaskResult) -> None:
+        """Keep one result and learn from its run time."""
+        job.tasks[result.index] = job.tasks[result.index]._replace(result=result)
+        job.unfinished -= 1
+        self.fleet.returned(guard, 1)
+        spec = job.spec.tasks[result.index]
+        if result.ok:
+            self.fleet.measured(guard, spec.kind, spec.size_ms, result.run_ms)
+
+    @handles(messages.NotRun)
+    def take_back(self, back: messages.NotRun, sender: Incarnation) -> None:
+        """Let tasks wait again that a guard did not start, within the budget."""
+        self.fleet.loaded(sender, back.load, self.now())
+        job = self.jobs.get(int(back.job))
+        if job is None or job.state != RUNNING:
+            return
+        NOT_RUN.labels(reason=back.reason).inc(len(back.tasks))
+        document = self.view.documents[job.spec.service]
+        self.asked.pop(job.token, None)
+        for index, attempt in back.tasks:
+            if not is_out(job, index, sender) or job.tasks[index].attempt != attempt:
+                continue
+            self.fleet.returned(sender, 1)
+            now = self.now()
+            verdict = after_not_run(attempt, document, self.budget, now)
+            self.wait_again(job, index, sender, now + verdict.wait_s)
+            if not verdict.again:
+                self.give_up(job, RETRIES_EXHAUSTED, f"Last reason: {back.reason}.")
+                return
+            RETRIES.labels(reason=back.reason).inc()
+            asyncio.get_running_loop().call_later(verdict.wait_s, self.request_place)
+
+    def wait_again(
+        self, job: Job, index: int, guard: Incarnation, not_before: float
+    ) -> None:
+        """Put a task back among those that wait for a place."""
+        task = job.tasks[index]
+        avoid = frozenset([guard, *list(task.avoid)[: AVOIDED_GUARDS - 1]])
+        job.tasks[index] = task._replace(guard=None, not_before=not_before, avoid=avoid)
+        job.waiting[index] = None
+
+    # --- the way out
+
+    def give_up(self, job: Job, kind: OutcomeKind, detail: str = "") -> None:
+        """End a job: refused where nothing of it started, failed otherwise."""
+        if job.started:
+            self.end(job, fail(kind, "maybe", detail))
+        else:
+            refusal = kind if kind is CANCELLED else NOT_PLACED
+            self.end(job, refuse(refusal, detail))
+
+    def end(self, job: Job, answer: Answer) -> None:
+        """Answer a job, and call back what of it is still out."""
+        job.move("end")
+        del self.jobs[job.token]
+        self.asked.pop(job.token, None)
+        JOBS.labels(status=answer.status).inc()
+        if answer.status == "failed":
+            FAILURES.labels(kind=answer.kind).inc()
+        self.call_back(job)
+        log_message(
+            "job:ended",
+            process=str(self.me),
+            service=job.spec.service,
+            job=job.spec.key,
+            status=answer.status,
+            kind=answer.kind,
+            ran=answer.ran,
+        )
+        self.keeper.post(local.JobEnded(job.token, job.slot, answer))
+        self.request_place()
+
+    def call_back(self, job: Job) -> None:
+        """Have guards drop tasks of an ended job, and stop those that run."""
+        for guard, tasks in out_by_guard(job).items():
+            self.fleet.returned(guard, len(tasks))
+            self.send_probe(job, guard, tasks, drop=True)
+
+    def send_probe(
+        self, job: Job, guard: Incarnation, tasks: list[int], drop: bool
+    ) -> None:
+        """Ask a guard after tasks of a job."""
+        named = tuple((index, job.tasks[index].attempt) for index in tasks)
+        spec = job.spec
+        self.send(guard, messages.Probe(job.name, spec.service, spec.key, named, drop))
+
+    @handles(local.Cancel)
+    def cancel(self, cancel: local.Cancel, sender: Incarnation) -> None:
+        """End a job that its caller no longer wants."""
+        job = self.jobs.get(cancel.token)
+        if job is not None and job.state == RUNNING:
+            self.give_up(job, CANCELLED)
+
+    # --- upkeep
+
+    @handles(messages.Beat)
+    def hear(self, beat: messages.Beat, sender: Incarnation) -> None:
+        """Learn of a guard and its load."""
+        now = self.now()
+        self.fleet.heard_of(sender, beat.place, now)
+        for load in beat.loads:
+            self.fleet.loaded(sender, load, now)
+        self.fleet.forget_service(sender, (load.service for load in beat.loads))
+        self.request_place()
+
+    @handles(local.ViewChanged)
+    def take_view(self, change: local.ViewChanged, sender: Incarnation) -> None:
+        """Take a new view of who is in service."""
+        self.view = change.view
+        self.serving = {
+            guard.incarnation
+            for guard in change.view.guards.values()
+            if not guard.draining and guard.place.zone not in change.view.zones_out
+        }
+        self.request_place()
+
+    @handles(Tick)
+    def keep_up(self, tick: Tick, sender: Incarnation) -> None:
+        """End jobs past their deadline, and ask after tasks that take long."""
+        now = self.now()
+        self.watch_guards(now)
+        for job in [job for job in self.jobs.values() if job.state == RUNNING]:
+            if now >= job.deadline_at:
+                self.give_up(job, DEADLINE_PASSED)
+            elif now - self.asked.get(job.token, now) > ASK_AGAIN_S:
+                del self.asked[job.token]
+                self.request_place()
+            else:
+                self.probe_late(job, now)
+        waiting = sum(len(job.waiting) for job in self.jobs.values())
+        QUEUED.labels(where="owner").set(waiting)
+
+    def probe_late(self, job: Job, now: float) -> None:
+        """Ask guards after tasks that have been out for long."""
+        for guard, tasks in out_by_guard(job).items():
+            late = [i for i in tasks if now - job.tasks[i].probed_at > PROBE_AFTER_S]
+            if late:
+                for index in late:
+                    job.tasks[index] = job.tasks[index]._replace(probed_at=now)
+                self.send_probe(job, guard, late, drop=False)
+
+    def watch_guards(self, now: float) -> None:
+        """Fail jobs with tasks at guards whose life has ended."""
+        registered = {guard.incarnation for guard in self.view.guards.values()}
+        busy = {guard for guard, count in self.fleet.outstanding.items() if count}
+        self.missing = {
+            guard: self.missing.get(guard, now) for guard in busy - registered
+        }
+        for guard in [g for g, at in self.missing.items() if now - at > LOST_AFTER_S]:
+            for job in list(self.jobs.values()):
+                if guard in out_by_guard(job):
+                    self.give_up(job, GUARD_LOST, f"Guard {guard} is gone.")
+            self.fleet.lost(guard)
+
+    def guards(self, service: str) -> tuple[GuardView, ...]:
+        """Return the guards in service that have a target of a service."""
+        silence_s = self.settings.timing.pair_silence_s
+        return self.fleet.views(service, self.serving, self.now(), silence_s)
+
+    @handles(local.ShowStatus)
+    def show(self, ask: local.ShowStatus, sender: Incarnation) -> None:
+        """Give the status page the jobs at work."""
+        waiting = sum(len(job.waiting) for job in self.jobs.values())
+        if not ask.reply.done():
+            ask.reply.set_result({"running": len(self.jobs), "waiting_tasks": waiting})
+
+
+def batch_of(choice: Choice) -> tuple[int, Incarnation]:
+    """Return what tasks must share to go out in one message."""
+    return choice.task.token, choice.guard
+
+
+def is_out(job: Job, index: int, guard: Incarnation) -> bool:
+    """Return whether a task of a job is at a guard and has no result yet."""
+    if not 0 <= index < len(job.tasks):
+        return False
+    task = job.tasks[index]
+    return task.guard == guard and task.result is None
+
+
+def out_by_guard(job: Job) -> dict[Incarnation, list[int]]:
+    """Return the indices of a job's tasks that are out, by guard."""
+    out: dict[Incarnation, list[int]] = {}
+    for index, task in enumerate(job.tasks):
+        if task.guard is not None and task.result is None:
+            out.setdefault(task.guard, []).append(index)
+    return out
+
+
+def waiting_tasks(job: Job, now: float) -> list[WaitingTask]:
+    """Return a job's tasks that may be placed now."""
+
+    def view(index: int, task: TaskState) -> WaitingTask:
+        spec = job.spec.tasks[index]
+        return WaitingTask(job.token, index, spec.kind, spec.size_ms, task.avoid)
+
+    return [
+        view(index, job.tasks[index])
+        for index in job.waiting
+        if job.tasks[index].not_before <= now
+    ]
--- /dev/null
+++ b/hawthorntrack/coordination/starting.py
@@ -0,0 +1,103 @@
+"""Decisions on whether a guard starts a task, keeps it waiting or sends it back."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from hawthorntrack.state.registry import Registry
+
+
+class StartScene(NamedTuple):
+    """What a guard knows when it is asked to start a task.
+
+    Attributes
+    ----------
+    fresh : bool
+        Whether the guard's view of the table is recent enough to act on.
+    zone_out, draining : bool
+        Whether its zone is out of service, and whether it is stopping itself.
+    has_target, leaving : bool
+        Whether a target has announced itself, and whether that one is leaving.
+    kinds : frozenset of str
+        Kinds that the target runs.
+    ejected : bool
+        Whether the target is out of service because it failed everything.
+    late : bool
+        Whether the job's deadline has passed.
+    """
+
+    fresh: bool
+    zone_out: bool
+    draining: bool
+    has_target: bool
+    leaving: bool
+    kinds: frozenset[str]
+    ejected: bool
+    late: bool
+
+
+Check = Callable[[StartScene, str], bool]
+start_checks: Registry[Check] = Registry("start check")
+check = start_checks.register
+
+
+@check("zone_out")
+def zone_is_out(scene: StartScene, kind: str) -> bool:
+    """Refuse while the zone is out of service."""
+    return scene.zone_out
+
+
+@check("stale_view")
+def view_is_stale(scene: StartScene, kind: str) -> bool:
+    """Refuse while the zone may have been taken out unnoticed."""
+    return not scene.fresh
+
+
+@check("draining")
+def guard_is_draining(scene: StartScene, kind: str) -> bool:
+    """Refuse while this guard is stopping."""
+    return scene.draining
+
+
+@check("no_target")
+def target_is_missing(scene: StartScene, kind: str) -> bool:
+    """Refuse without a target."""
+    return not scene.has_target
+
+
+@check("target_leaving")
+def target_is_leaving(scene: StartScene, kind: str) -> bool:
+    """Refuse while the target announces that it leaves."""
+    return scene.leaving
+
+
+@check("wrong_kind")
+def kind_is_unknown(scene: StartScene, kind: str) -> bool:
+    """Refuse a kind that the target does not run."""
+    return scene.has_target and kind not in scene.kinds
+
+
+@check("target_ejected")
+def target_is_ejected(scene: StartScene, kind: str) -> bool:
+    """Refuse while the target fails everything."""
+    return scene.ejected
+
+
+@check("too_late")
+def deadline_has_passed(scene: StartScene, kind: str) -> bool:
+    """Refuse what nobody waits for any more."""
+    return scene.late
+
+
+def why_not(scene: StartScene, kind: str) -> str | None:
+    """Return the first reason not to start a task, or None.
+
+    Examples
+    --------
+    >>> scene = StartScene(True, False, False, True, False, frozenset({"a"}),
+    ...                    False, False)
+    >>> why_not(scene, "a"), why_not(scene, "b")
+    (None, 'wrong_kind')
+    """
+    return next(
+        (name for name in start_checks if start_checks[name](scene, kind)), None
+    )
--- /dev/null
+++ b/hawthorntrack/daemon/guard.py
@@ -0,0 +1,103 @@
+"""A guard: the process beside a target."""
+
+import random
+
+from hawthorntrack.coordination.beats import Heartbeats
+from hawthorntrack.coordination.control import Control
+from hawthorntrack.coordination.executor import Executor
+from hawthorntrack.coordination.keeper import SlotKeeper
+from hawthorntrack.coordination.runner import JobRunner
+from hawthorntrack.daemon.process import Process
+from hawthorntrack.protocol import messages
+from hawthorntrack.protocol.rows import guards_prefix
+from hawthorntrack.state.settings import Settings
+from hawthorntrack.transport.announcements import AnnouncementsApi
+from hawthorntrack.transport.target_client import TargetClient
+from hawthorntrack.transport.web import WebServer
+
+CONTROL_TICK_S = 0.1
+KEEPER_TICK_S = 0.1
+RUNNER_TICK_S = 0.05
+EXECUTOR_TICK_S = 0.1
+BUS_TICK_S = 10.0
+
+
+async def run_guard(settings: Settings) -> None:
+    """Run a guard until it is stopped.
+
+    Parameters
+    ----------
+    settings : Settings
+        The guard's settings.
+    """
+    process = Process(settings)
+    me, send = process.me, process.sender.send
+    rng = random.Random(settings.seed)
+    beats = Heartbeats(me, settings, send)
+    runner = JobRunner(me.incarnation, settings, send, rng)
+    keeper = SlotKeeper(
+        me,
+        settings,
+        process.table,
+        send,
+        beats.mailbox,
+        runner.mailbox,
+        process.drained,
+    )
+    executor = Executor(me, settings, send, beats.mailbox, process.drained)
+    client = TargetClient(executor.mailbox)
+    runner.keeper, executor.client = keeper.mailbox, client.mailbox
+    subscribers = [beats.mailbox, runner.mailbox, keeper.mailbox, executor.mailbox]
+    prefix = guards_prefix(settings.environment)
+    process.add_control(
+        Control(me, prefix, settings, process.table, send, subscribers, rng)
+    )
+    process.route(keeper, *KEEPER_MESSAGES)
+    process.route(runner, *RUNNER_MESSAGES)
+    process.route(executor, *EXECUTOR_MESSAGES)
+    tasks = {
+        "control": process.control.mailbox,
+        "keeper": keeper.mailbox,
+        "runner": runner.mailbox,
+        "executor": executor.mailbox,
+    }
+    routes = AnnouncementsApi(executor.mailbox).routes()
+    server = WebServer(settings, process.readiness, tasks, routes)
+    try:
+        await process.run(
+            [
+                (process.sender, BUS_TICK_S),
+                (process.control, CONTROL_TICK_S),
+                (keeper, KEEPER_TICK_S),
+                (runner, RUNNER_TICK_S),
+                (executor, EXECUTOR_TICK_S),
+                (client, 0),
+                (beats, settings.timing.beat_interval_s),
+            ],
+            [keeper, executor, beats],
+            server,
+        )
+    finally:
+        await process.close()
+
+
+KEEPER_MESSAGES = (
+    messages.Beat,
+    messages.Submit,
+    messages.Inquire,
+    messages.LookUp,
+    messages.CancelJob,
+    messages.Note,
+    messages.NoteTaken,
+    messages.NoteRefused,
+    messages.Handover,
+    messages.HandoverTaken,
+    messages.Yield,
+)
+RUNNER_MESSAGES = (messages.Beat, messages.Grant, messages.Done, messages.NotRun)
+EXECUTOR_MESSAGES = (
+    messages.Start,
+    messages.Reserve,
+    messages.Release,
+    messages.Probe,
+)
--- /dev/null
+++ b/hawthorntrack/daemon/process.py
@@ -0,0 +1,233 @@
+"""What entry instances and guards have in common: the bus, and a life."""
+
+import asyncio
+import secrets
+import signal
+import sys
+from collections.abc import Iterable
+from typing import Any
+
+import eliot
+import zmq.asyncio
+from eliot import log_message
+from transitions import Machine
+
+from hawthorntrack.coordination.control import Control
+from hawthorntrack.protocol import local
+from hawthorntrack.protocol.codec import codecs
+from hawthorntrack.protocol.logfmt import LineWriter
+from hawthorntrack.protocol.messages import AskConfig, ConfigRows, Envelope
+from hawthorntrack.state.actor import Actor, Delivery
+from hawthorntrack.state.mailbox import Mailbox, tick
+from hawthorntrack.state.metrics import BAD_INPUT
+from hawthorntrack.state.settings import Settings
+from hawthorntrack.state.values import GuardInfo, Incarnation
+from hawthorntrack.transport.bus import BusReceiver, BusSender, StampChanged
+from hawthorntrack.transport.table_client import HttpTable, table_of
+from hawthorntrack.transport.web import Readiness, WebServer
+
+FLUSH_S = 0.3
+LIFE_TRANSITIONS = (
+    {"trigger": "become_ready", "source": "starting", "dest": "serving"},
+    {"trigger": "begin_drain", "source": ["starting", "serving"], "dest": "draining"},
+    {"trigger": "finish", "source": "draining", "dest": "stopped"},
+)
+
+
+class Life:
+    """The life of a process, from starting to stopped."""
+
+    def __init__(self) -> None:
+        self.state = "starting"
+        self.machine = Machine(
+            model=self,
+            states=["starting", "serving", "draining", "stopped"],
+            transitions=list(LIFE_TRANSITIONS),
+            initial="starting",
+            auto_transitions=False,
+        )
+
+
+class Process:
+    """The parts of one process and the messages between them.
+
+    Parameters
+    ----------
+    settings : Settings
+        The process's settings.
+
+    Attributes
+    ----------
+    routes : dict
+        The mailboxes that get each type of bus message.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.me = GuardInfo(
+            Incarnation(settings.bus, secrets.token_hex(6)),
+            settings.place,
+            settings.http,
+            False,
+        )
+        self.life = Life()
+        self.readiness = Readiness()
+        self.table: HttpTable = table_of(settings)
+        self.drained = Mailbox("drained")
+        context = zmq.asyncio.Context()
+        self.context = context
+        self.sender = BusSender(
+            context, codecs["msgpack"], self.me.incarnation, self.deliver_local
+        )
+        self.receiver = BusReceiver(
+            context, codecs["msgpack"], self.me.incarnation, self.deliver
+        )
+        self.routes: dict[type, tuple[Mailbox, ...]] = {}
+        self.control: Control | None = None
+
+    def add_control(self, control: Control) -> None:
+        """Add the control task and tell the bus of each new stamp."""
+        self.control = control
+        control.subscribers.append(StampRelay(self.sender.mailbox))
+        control.on_ready = self.become_ready
+        self.route(control, AskConfig, ConfigRows)
+
+    def route(self, actor: Actor, *kinds: type) -> None:
+        """Have `actor` get messages of these types."""
+        for kind in kinds:
+            self.routes[kind] = (*self.routes.get(kind, ()), actor.mailbox)
+
+    def become_ready(self) -> None:
+        """Take requests from now on."""
+        if self.life.state == "starting":
+            self.life.become_ready()
+            self.readiness.set(True)
+            log_message("process:ready", process=str(self.me.incarnation))
+
+    def deliver(self, envelope: Envelope) -> None:
+        """Give a message from the bus to its tasks."""
+        if envelope.stamp > self.control.view.stamp:
+            self.control.mailbox.post(local.StampSeen(envelope.sender, envelope.stamp))
+        self.deliver_local(envelope.sender, envelope.body)
+
+    def deliver_local(self, sender: Incarnation, body: Any) -> None:
+        """Give a message to its tasks."""
+        mailboxes = self.routes.get(type(body), ())
+        if not mailboxes:
+            BAD_INPUT.labels(edge="bus", reason="not_for_this_role").inc()
+        for mailbox in mailboxes:
+            mailbox.post(Delivery(sender, body))
+
+    async def run(
+        self,
+        actors: Iterable[tuple[Actor, float]],
+        drainers: list[Actor],
+        server: WebServer,
+    ) -> None:
+        """Run until SIGTERM and the drain that follows.
+
+        Parameters
+        ----------
+        actors : iterable of (Actor, float)
+            Tasks with their tick interval in seconds; 0 for none.
+        drainers : list of Actor
+            Tasks that report when they have drained.
+        server : WebServer
+            The process's HTTP side.
+        """
+        await server.start()
+        stop = self.stop_on_signals()
+        async with asyncio.TaskGroup() as group:
+            running = [group.create_task(self.receiver.run())]
+            for actor, interval_s in actors:
+                running.append(group.create_task(actor.run()))
+                if interval_s:
+                    ticks = tick(actor.mailbox, interval_s)
+                    running.append(group.create_task(ticks))
+            group.create_task(self.end(stop, running, drainers, server))
+
+    def stop_on_signals(self) -> asyncio.Queue[int]:
+        """Return a queue that gets each signal to stop."""
+        stop: asyncio.Queue[int] = asyncio.Queue()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop.put_nowait, number)
+        return stop
+
+    async def end(
+        self,
+        stop: asyncio.Queue[int],
+        running: list[asyncio.Task[None]],
+        drainers: list[Actor],
+        server: WebServer,
+    ) -> None:
+        """Wait for a signal, drain, deregister, and cancel the tasks."""
+        await stop.get()
+        self.life.begin_drain()
+        self.readiness.set(False, "draining")
+        log_message("process:draining", process=str(self.me.incarnation))
+        self.control.mailbox.post(local.Drain())
+        for actor in drainers:
+            actor.mailbox.post(local.Drain())
+        left = await self.drain(stop, {type(actor).__name__ for actor in drainers})
+        await server.stop()
+        await asyncio.sleep(FLUSH_S)
+        await self.control.deregister()
+        self.life.finish()
+        log_message(
+            "process:stopped",
+            process=str(self.me.incarnation),
+            unfinished=",".join(sorted(left)) or "none",
+        )
+        for task in running:
+            task.cancel()
+
+    async def drain(self, stop: asyncio.Queue[int], left: set[str]) -> set[str]:
+        """Wait until all have drained; return who has not.
+
+        Explanation
+        -----------
+        A second signal, or the limit from the settings, ends the wait.
+        """
+        signalled = asyncio.create_task(stop.get())
+        loop = asyncio.get_running_loop()
+        limit = loop.time() + self.settings.timing.drain_limit_s
+        while left and not signalled.done() and loop.time() < limit:
+            reported = asyncio.create_task(self.drained.get())
+            await asyncio.wait(
+                (reported, signalled),
+                timeout=limit - loop.time(),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if reported.done():
+                left.discard(reported.result().task)
+            else:
+                reported.cancel()
+        signalled.cancel()
+        return left
+
+    async def close(self) -> None:
+        """Close what the process opened."""
+        await self.table.close()
+        self.context.destroy(linger=0)
+
+
+class StampRelay:
+    """Passes the stamp of each new view on to the bus."""
+
+    def __init__(self, mailbox: Mailbox) -> None:
+        self.mailbox = mailbox
+        self.stamp = 0
+
+    def post(self, change: local.ViewChanged) -> bool:
+        """Post the stamp, if it changed."""
+        if change.view.stamp == self.stamp:
+            return True
+        self.stamp = change.view.stamp
+        return self.mailbox.post(StampChanged(self.stamp))
+
+
+def begin_log(path: str) -> None:
+    """Write events to a file, or to standard error for ``-``."""
+    stream = sys.stderr if path == "-" else open(path, "a", buffering=1)
+    eliot.add_destinations(LineWriter(stream))
--- /dev/null
+++ b/hawthorntrack/experiment/__init__.py
@@ -0,0 +1,4 @@
+"""Deployments on one machine, for the demo, replays and measurements.
+
+The launcher here starts processes; the daemons themselves never do.
+"""
--- /dev/null
+++ b/hawthorntrack/experiment/launcher.py
@@ -0,0 +1,296 @@
+"""Starts and stops a deployment's processes on this machine."""
+
+import asyncio
+import contextlib
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import msgspec
+import yaml
+
+from hawthorntrack.experiment.layout import (
+    Deployment,
+    Ports,
+    document_body,
+    place_of,
+    settings_body,
+)
+from hawthorntrack.protocol.rows import document_key, write_document
+from hawthorntrack.state.table import Written
+from hawthorntrack.transport.table_client import HttpTable
+
+ENVIRONMENT = "production"
+READY_LIMIT_S = 30.0
+STOP_LIMIT_S = 45.0
+POLL_S = 0.05
+
+
+class Fleet:
+    """A deployment's processes.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        What to run.
+    base_port : int
+        First of the ports used.
+    policy : str
+        Placement policy of the document.
+    changes : dict or None
+        Settings to change from the layout's, in every process.
+
+    Attributes
+    ----------
+    processes : dict of str to subprocess.Popen
+        Running processes by name: ``table``, ``guard0``, ``target0``, ``entry0``.
+    """
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        base_port: int,
+        policy: str = "expected_finish",
+        changes: dict[str, Any] | None = None,
+    ) -> None:
+        self.deployment = deployment
+        self.ports = Ports(base_port)
+        self.policy = policy
+        self.changes = changes or {}
+        self.folder = Path(tempfile.mkdtemp(prefix="hawthorntrack-"))
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.session: aiohttp.ClientSession | None = None
+        self.table = HttpTable(f"http://{self.ports.table()}", 2.0, 1_000, 1_000)
+
+    # --- names and addresses
+
+    def guards(self) -> list[str]:
+        """Return the names of all guards."""
+        return [f"guard{number}" for number in range(self.deployment.workers)]
+
+    def targets(self) -> list[str]:
+        """Return the names of all targets."""
+        return [f"target{number}" for number in range(self.deployment.workers)]
+
+    def entries(self) -> list[str]:
+        """Return the names of all entry instances."""
+        return [f"entry{number}" for number in range(self.deployment.entries)]
+
+    def process_number(self, name: str) -> int:
+        """Return the number that a guard's or entry's ports go by."""
+        offset = self.deployment.workers if name.startswith("entry") else 0
+        return offset + int(name.lstrip("abcdefghijklmnopqrstuvwxyz"))
+
+    def http(self, name: str) -> str:
+        """Return the HTTP address of a process."""
+        if name == "table":
+            return self.ports.table()
+        if name.startswith("target"):
+            return self.ports.target(int(name.removeprefix("target")))
+        return self.ports.http(self.process_number(name))
+
+    def zone(self, name: str) -> str:
+        """Return the zone of a guard or target."""
+        number = int(name.lstrip("abcdefghijklmnopqrstuvwxyz"))
+        return place_of(self.deployment, number).zone
+
+    # --- starting
+
+    def spawn(self, name: str, module: str, *arguments: str) -> None:
+        """Start one process; its output goes to a file in the folder."""
+        output = open(self.folder / f"{name}.out", "ab")
+        self.processes[name] = subprocess.Popen(
+            [sys.executable, "-m", module, *arguments],
+            stdout=output,
+            stderr=output,
+            env={**os.environ, "PYTHONUNBUFFERED": "1"},
+        )
+        output.close()
+
+    def spawn_table(self) -> None:
+        """Start the table's stand-in."""
+        address = self.ports.table()
+        self.spawn("table", "hawthorntrack.standins.table", "--address", address)
+
+    def spawn_daemon(self, name: str) -> None:
+        """Start a guard or an entry instance."""
+        body = settings_body(
+            self.deployment,
+            self.ports,
+            self.process_number(name),
+            str(self.folder / f"{name}.log"),
+            self.changes,
+        )
+        path = self.folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(body, sort_keys=False))
+        role = "entry" if name.startswith("entry") else "guard"
+        self.spawn(name, "hawthorntrack.daemon.main", role, "--settings", str(path))
+
+    def spawn_target(self, number: int, speed: float | None = None) -> None:
+        """Start a target's stand-in."""
+        deployment = self.deployment
+        place = place_of(deployment, number)
+        speeds = deployment.speeds
+        options = {
+            "address": self.ports.target(number),
+            "guard": self.ports.http(number),
+            "service": deployment.service,
+            "kinds": ",".join(deployment.kinds),
+            "slots": deployment.slots,
+            "connections": deployment.connections,
+            "zone": place.zone,
+            "rack": place.rack,
+            "worker": place.worker,
+            "speed": speed or speeds[number % len(speeds)],
+            "seed": number + 1,
+        }
+        words = [word for key, item in options.items() for word in (f"--{key}", item)]
+        self.spawn(f"target{number}", "hawthorntrack.standins.target", *map(str, words))
+
+    async def start(self) -> None:
+        """Start everything and wait until every slot has an open owner."""
+        self.session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=70),
+            connector=aiohttp.TCPConnector(limit=0),
+        )
+        self.spawn_table()
+        await self.reach("table", "/stats")
+        body = document_body(self.deployment, self.policy)
+        key = document_key(ENVIRONMENT, self.deployment.service)
+        await self.table.write(key, 0, write_document(1, body))
+        for number, name in enumerate(self.guards()):
+            self.spawn_daemon(name)
+            self.spawn_target(number)
+        for name in self.entries():
+            self.spawn_daemon(name)
+        for name in [*self.guards(), *self.entries()]:
+            await self.reach(name, "/readyz")
+        await self.until(self.all_slots_open, "every slot has an open owner")
+        await self.until(self.all_targets_known, "every target has announced itself")
+
+    async def reach(self, name: str, path: str) -> None:
+        """Wait until a process answers 200."""
+
+        async def answers() -> bool:
+            with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+                async with self.session.get(f"http://{self.http(name)}{path}") as got:
+                    return got.status == 200
+            return False
+
+        await self.until(answers, f"{name} answers {path}")
+
+    async def until(
+        self, condition: Any, what: str, limit_s: float = READY_LIMIT_S
+    ) -> float:
+        """Wait until a condition holds; return how long that took, in seconds.
+
+        Raises
+        ------
+        TimeoutError
+            If it does not hold within the limit.
+        """
+        begun = time.monotonic()
+        while not await condition():
+            if time.monotonic() - begun > limit_s:
+                raise TimeoutError(f"not within {limit_s} s: {what}; {self.folder}")
+            await asyncio.sleep(POLL_S)
+        return time.monotonic() - begun
+
+    async def all_slots_open(self) -> bool:
+        """Return whether every slot is open, as the entries see it."""
+        slots = settings_body(self.deployment, self.ports, 0, "", self.changes)["slots"]
+        pages = [await self.status(name) for name in self.live(self.entries())]
+        return all(page["router"]["slots_open"] == slots for page in pages)
+
+    async def all_targets_known(self) -> bool:
+        """Return whether every live guard has a target."""
+        pages = [await self.status(name) for name in self.live(self.guards())]
+        return all(page["executor"]["target"] for page in pages)
+
+    # --- looking and telling
+
+    def live(self, names: list[str]) -> list[str]:
+        """Return those of the processes that run."""
+        return [
+            name
+            for name in names
+            if name in self.processes and self.processes[name].poll() is None
+        ]
+
+    async def get(self, name: str, path: str) -> Any:
+        """Return the JSON that a process answers."""
+        async with self.session.get(f"http://{self.http(name)}{path}") as response:
+            return msgspec.json.decode(await response.read())
+
+    async def status(self, name: str) -> Any:
+        """Return a daemon's status page."""
+        return await self.get(name, "/status")
+
+    async def fault(self, name: str, **fault: Any) -> None:
+        """Set the fault of a stand-in."""
+        url = f"http://{self.http(name)}/faults"
+        async with self.session.post(url, data=msgspec.json.encode(fault)) as response:
+            response.raise_for_status()
+
+    async def starts(self) -> list[dict[str, Any]]:
+        """Return every task start that live targets have recorded."""
+        pages = {n: await self.get(n, "/starts") for n in self.live(self.targets())}
+        return [
+            {**start, "target": name, "zone": self.zone(name)}
+            for name, page in pages.items()
+            for start in page["starts"]
+        ]
+
+    async def write_row(self, key: str, value: bytes) -> int:
+        """Write a row over whatever stands there; return its version."""
+        while True:
+            found = (await self.table.read(key)).rows
+            exact = [row for row in found if row.key == key]
+            expect = exact[0].version if exact else 0
+            outcome = await self.table.write(key, expect, value)
+            if isinstance(outcome, Written):
+                return outcome.version
+
+    # --- stopping
+
+    def signal(self, name: str, number: int) -> None:
+        """Send a signal to a process of this fleet."""
+        self.processes[name].send_signal(number)
+
+    async def stopped(self, name: str, limit_s: float = STOP_LIMIT_S) -> int:
+        """Wait until a process has ended; return its exit code."""
+        process = self.processes[name]
+
+        async def ended() -> bool:
+            return process.poll() is not None
+
+        await self.until(ended, f"{name} has stopped", limit_s)
+        return process.returncode
+
+    async def stop(self) -> dict[str, int]:
+        """Stop all processes gracefully; return their exit codes."""
+        codes: dict[str, int] = {}
+        for names in (self.entries(), self.guards(), self.targets(), ["table"]):
+            live = self.live(names)
+            for name in live:
+                self.signal(name, signal.SIGTERM)
+            for name in live:
+                codes[name] = await self.stopped(name)
+        await self.close()
+        return codes
+
+    async def close(self) -> None:
+        """End what still runs, and close connections."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+                process.wait()
+        await self.table.close()
+        if self.session is not None:
+            await self.session.close()
--- a/hawthorntrack/protocol/bodies.py
+++ b/hawthorntrack/protocol/bodies.py
@@ -61,21 +61,25 @@
 
 
 class RunBody(TypedDict):
-    """A task as a guard posts it to its target."""
+    """A task as a guard posts it to its target; `input` is always there."""
 
     key: str
     index: int
     kind: str
     size_ms: int
-    input: msgspec.Raw
+    input: NotRequired[msgspec.Raw]
 
 
 class RowBody(TypedDict):
-    """A row of the table service."""
+    """A row of the table service; every row has a `value`.
+
+    It is marked as not required because msgspec refuses a required `Raw` in a
+    TypedDict.
+    """
 
     key: str
     version: int
-    value: msgspec.Raw
+    value: NotRequired[msgspec.Raw]
 
 
 class RowsBody(TypedDict):
--- /dev/null
+++ b/hawthorntrack/protocol/rows.py
@@ -0,0 +1,165 @@
+"""Keys and values of the platform's table rows."""
+
+from collections.abc import Iterable
+from typing import TypedDict
+
+import msgspec
+
+from hawthorntrack.state.control import Config
+from hawthorntrack.state.documents import DocumentBody, document_of
+from hawthorntrack.state.table import Row
+from hawthorntrack.state.values import GuardInfo, Incarnation, Place, SlotRow
+
+ZONES = "zones"
+
+
+class ZonesRow(TypedDict):
+    """The zones out of service in one environment."""
+
+    out: list[str]
+
+
+class DocumentRow(TypedDict):
+    """A service's document; `number` counts its versions here, from 1."""
+
+    number: int
+    body: DocumentBody
+
+
+class GuardRow(TypedDict):
+    """A guard's registration."""
+
+    nonce: str
+    zone: str
+    rack: str
+    worker: str
+    http: str
+    draining: bool
+
+
+def config_prefix(environment: str) -> str:
+    """Return the key prefix of documents and zones."""
+    return f"config/{environment}/"
+
+
+def zones_key(environment: str) -> str:
+    """Return the key of the row of zones out of service."""
+    return f"config/{environment}/{ZONES}"
+
+
+def document_key(environment: str, service: str) -> str:
+    """Return the key of a service's document."""
+    return f"config/{environment}/service/{service}"
+
+
+def history_prefix(environment: str, service: str) -> str:
+    """Return the key prefix of a document's past versions."""
+    return f"history/{environment}/{service}/"
+
+
+def history_key(environment: str, service: str, number: int) -> str:
+    """Return the key of one version of a document."""
+    return f"{history_prefix(environment, service)}{number:08d}"
+
+
+def guards_prefix(environment: str) -> str:
+    """Return the key prefix of guards' registrations."""
+    return f"guards/{environment}/"
+
+
+def guard_key(environment: str, address: str) -> str:
+    """Return the key of one guard's registration."""
+    return guards_prefix(environment) + address
+
+
+def entries_prefix(environment: str) -> str:
+    """Return the key prefix of entry instances' registrations."""
+    return f"entries/{environment}/"
+
+
+def slots_prefix(environment: str) -> str:
+    """Return the key prefix of slot rows."""
+    return f"slots/{environment}/"
+
+
+def slot_key(environment: str, slot: int) -> str:
+    """Return the key of one slot's row."""
+    return f"{slots_prefix(environment)}{slot:07d}"
+
+
+def read_zones(row: Row) -> list[str]:
+    """Return the zones out of service."""
+    return msgspec.json.decode(row.value, type=ZonesRow)["out"]
+
+
+def write_zones(out: Iterable[str]) -> bytes:
+    """Return the row's value for zones out of service."""
+    return msgspec.json.encode({"out": sorted(out)})
+
+
+def read_document(row: Row) -> DocumentRow:
+    """Return a document with its version's number."""
+    return msgspec.json.decode(row.value, type=DocumentRow)
+
+
+def write_document(number: int, body: DocumentBody) -> bytes:
+    """Return the row's value for a document."""
+    return msgspec.json.encode({"number": number, "body": body})
+
+
+def read_config(rows: Iterable[Row]) -> Config:
+    """Return the configuration that all rows of its prefix hold."""
+    rows = tuple(rows)
+    zones = [row for row in rows if row.key.endswith(f"/{ZONES}")]
+    documents = (read_document(row) for row in rows if row not in zones)
+    return Config(
+        max((row.version for row in rows), default=0),
+        tuple(document_of(held["body"], held["number"]) for held in documents),
+        frozenset(zone for row in zones for zone in read_zones(row)),
+    )
+
+
+def read_guards(rows: Iterable[Row]) -> dict[str, GuardInfo]:
+    """Return registered processes by their bus address."""
+    return {
+        guard.incarnation.address: guard for guard in (read_guard(row) for row in rows)
+    }
+
+
+def read_guard(row: Row) -> GuardInfo:
+    """Return one registration."""
+    body = msgspec.json.decode(row.value, type=GuardRow)
+    return GuardInfo(
+        Incarnation(row.key.rpartition("/")[2], body["nonce"]),
+        Place(body["zone"], body["rack"], body["worker"]),
+        body["http"],
+        body["draining"],
+    )
+
+
+def write_guard(guard: GuardInfo) -> bytes:
+    """Return the row's value for a registration."""
+    body: GuardRow = {
+        "nonce": guard.incarnation.nonce,
+        "zone": guard.place.zone,
+        "rack": guard.place.rack,
+        "worker": guard.place.worker,
+        "http": guard.http,
+        "draining": guard.draining,
+    }
+    return msgspec.json.encode(body)
+
+
+def read_slot(row: Row) -> SlotRow:
+    """Return a slot's row with the version it stands at."""
+    return msgspec.json.decode(row.value, type=SlotRow)._replace(version=row.version)
+
+
+def write_slot(row: SlotRow) -> bytes:
+    """Return the value of a slot's row; the version is the table's to give."""
+    return msgspec.json.encode(row._replace(version=0))
+
+
+def read_slots(rows: Iterable[Row]) -> dict[int, SlotRow]:
+    """Return slot rows by slot."""
+    return {int(row.key.rpartition("/")[2]): read_slot(row) for row in rows}
--- /dev/null
+++ b/hawthorntrack/standins/serving.py
@@ -0,0 +1,37 @@
+"""Serving a stand-in until it is told to stop."""
+
+import asyncio
+import signal
+
+from aiohttp import web
+
+SHUTDOWN_S = 2.0
+
+
+async def open_site(routes: list[web.RouteDef], address: str) -> web.AppRunner:
+    """Open a socket for routes; a handler whose caller leaves is cancelled."""
+    app = web.Application(client_max_size=32_000_000)
+    app.add_routes(routes)
+    runner = web.AppRunner(
+        app, access_log=None, handler_cancellation=True, shutdown_timeout=SHUTDOWN_S
+    )
+    await runner.setup()
+    host, _, port = address.rpartition(":")
+    await web.TCPSite(runner, host, int(port), backlog=1024).start()
+    return runner
+
+
+async def until_stopped() -> None:
+    """Wait for SIGTERM or SIGINT."""
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    await stopped.wait()
+
+
+async def serve(routes: list[web.RouteDef], address: str) -> None:
+    """Serve routes until the process is told to stop."""
+    runner = await open_site(routes, address)
+    await until_stopped()
+    await runner.cleanup()
--- a/hawthorntrack/state/documents.py
+++ b/hawthorntrack/state/documents.py
@@ -5,7 +5,6 @@
 import msgspec
 
 from hawthorntrack.state.checking import InvalidInput, check
-from hawthorntrack.state.registry import Registry
 
 Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9_-]*\Z", max_length=64)]
 Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
@@ -88,12 +87,9 @@
         return self.customers.get(name, self.customers[DEFAULT_CUSTOMER])
 
 
-witness_rules: Registry[str] = Registry("witness rule")
-for rule in ("other_zone", "other_rack"):
-    witness_rules.register(rule)(rule)
-
-
-def check_document(data: Any, source: str, policies: list[str]) -> DocumentBody:
+def check_document(
+    data: Any, source: str, policies: list[str], witness_rules: list[str]
+) -> DocumentBody:
     """Return a document's body after checking it whole.
 
     Parameters
@@ -102,6 +98,8 @@
         Plain values of the YAML document.
     policies : list of str
         Names of the placement policies known.
+    witness_rules : list of str
+        Names of the rules known for choosing a witness.
 
     Raises
     ------
@@ -116,6 +114,13 @@
             "is above deadlines.max_ms",
             "Lower the default or raise the maximum.",
         )
+    if body["retention_s"] * 1000 < 2 * body["deadlines"]["max_ms"]:
+        raise InvalidInput(
+            source,
+            "retention_s",
+            "is under twice deadlines.max_ms",
+            "Raise it: a key must be remembered while its job can still run.",
+        )
     if body["policy"] not in policies:
         raise InvalidInput(
             source,
@@ -128,7 +133,7 @@
             source,
             "witness",
             f"no rule {body['witness']!r}",
-            f"Choose one of {', '.join(witness_rules.names())}.",
+            f"Choose one of {', '.join(witness_rules)}.",
         )
     if DEFAULT_CUSTOMER not in body["customers"]:
         raise InvalidInput(
--- /dev/null
+++ b/hawthorntrack/state/jobs.py
@@ -0,0 +1,90 @@
+"""The jobs that an owner runs, and the life of each."""
+
+from typing import NamedTuple
+
+from transitions import Machine
+
+from hawthorntrack.state.values import Incarnation, JobSpec, TaskResult
+
+OFFERED = "offered"
+RUNNING = "running"
+ENDED = "ended"
+JOB_TRANSITIONS = (
+    {"trigger": "admit", "source": OFFERED, "dest": RUNNING},
+    {"trigger": "end", "source": RUNNING, "dest": ENDED},
+)
+
+
+class TaskState(NamedTuple):
+    """Where one task of a job stands.
+
+    Attributes
+    ----------
+    guard : Incarnation or None
+        Where it was sent; None while it waits at the owner.
+    attempt : int
+        How often it was sent.
+    sent_at, not_before : float
+        Loop times in seconds: of the newest sending, and of the next one allowed.
+    """
+
+    guard: Incarnation | None = None
+    attempt: int = 0
+    sent_at: float = 0.0
+    not_before: float = 0.0
+    probed_at: float = 0.0
+    avoid: frozenset[Incarnation] = frozenset()
+    result: TaskResult | None = None
+
+
+class Job:
+    """A job at its owner.
+
+    Attributes
+    ----------
+    token : int
+        The owner's number for it.
+    deadline_at : float
+        Loop time in seconds.
+    waiting : dict of int
+        Indices of tasks that wait for a place, in order.
+    unfinished : int
+        Tasks without a result.
+    """
+
+    def __init__(
+        self, token: int, slot: int, spec: JobSpec, deadline_at: float
+    ) -> None:
+        self.token = token
+        self.slot = slot
+        self.spec = spec
+        self.deadline_at = deadline_at
+        self.state = OFFERED
+        self.tasks = [TaskState() for _ in spec.tasks]
+        self.waiting = dict.fromkeys(range(len(self.tasks)))
+        self.unfinished = len(self.tasks)
+
+    @property
+    def name(self) -> str:
+        """The job's name in messages between owner and guards."""
+        return str(self.token)
+
+    @property
+    def started(self) -> bool:
+        """Whether any task may have started."""
+        return any(task.guard or task.result for task in self.tasks)
+
+    def move(self, trigger: str) -> None:
+        """Go on by a declared transition."""
+        LIFE.add_model(self, initial=self.state)
+        self.trigger(trigger)
+        LIFE.remove_model(self)
+
+
+LIFE = Machine(
+    model=None,
+    states=[OFFERED, RUNNING, ENDED],
+    transitions=list(JOB_TRANSITIONS),
+    initial=OFFERED,
+    auto_transitions=False,
+)
--- a/hawthorntrack/state/settings.py
+++ b/hawthorntrack/state/settings.py
@@ -51,6 +51,7 @@
     connections: NotRequired[Positive]
     mailbox: NotRequired[Positive]
     view_size: NotRequired[Positive]
+    fanout: NotRequired[Positive]
     poll_budget_per_s: NotRequired[Positive]
 
 
@@ -91,6 +92,8 @@
     ----------
     view_size : int
         Guards that one process keeps in view to place tasks on.
+    fanout : int
+        Guards that get a heartbeat at each interval, beside partners.
     poll_budget_per_s : int
         Configuration reads per second that all processes together may cause.
     """
@@ -100,6 +103,7 @@
     connections: int = 1_000
     mailbox: int = 20_000
     view_size: int = 64
+    fanout: int = 16
     poll_budget_per_s: int = 400
 
 
--- /dev/null
+++ b/hawthorntrack/state/started.py
@@ -0,0 +1,83 @@
+"""Which tasks a guard started, and which it promised never to start."""
+
+from collections import OrderedDict
+from typing import NamedTuple
+
+from hawthorntrack.state.values import Incarnation, TaskResult
+
+TaskName = tuple[str, str, int]  # service, job key, index of the task
+
+
+class StartedTask(NamedTuple):
+    """A task that was started here.
+
+    Attributes
+    ----------
+    owner : Incarnation
+        Who gets the result.
+    job : str
+        The owner's name for the job.
+    at : float
+        Loop time of the start in seconds.
+    result : TaskResult or None
+        What came of it, once it came.
+    """
+
+    owner: Incarnation
+    job: str
+    at: float
+    result: TaskResult | None = None
+
+
+class StartMemory:
+    """Remembers starts for the retention, so that none is repeated.
+
+    Examples
+    --------
+    >>> memory = StartMemory()
+    >>> name = ("visits", "k", 0)
+    >>> memory.renounce(name, attempt=1, now=0.0)
+    >>> memory.renounced(name, 1), memory.renounced(name, 2)
+    (True, False)
+    """
+
+    def __init__(self) -> None:
+        self.started: OrderedDict[TaskName, StartedTask] = OrderedDict()
+        self.given_up: OrderedDict[TaskName, tuple[int, float]] = OrderedDict()
+
+    def find(self, name: TaskName) -> StartedTask | None:
+        """Return the start of a task, if it was started here."""
+        return self.started.get(name)
+
+    def start(self, name: TaskName, task: StartedTask) -> None:
+        """Remember a start."""
+        self.started[name] = task
+
+    def finish(self, name: TaskName, result: TaskResult) -> StartedTask:
+        """Remember a result and return the start that it belongs to."""
+        task = self.started[name]._replace(result=result)
+        self.started[name] = task
+        return task
+
+    def renounce(self, name: TaskName, attempt: int, now: float) -> None:
+        """Promise never to start this attempt of a task, or an earlier one."""
+        known = self.given_up.get(name, (0, now))[0]
+        self.given_up[name] = (max(known, attempt), now)
+        self.given_up.move_to_end(name)
+
+    def renounced(self, name: TaskName, attempt: int) -> bool:
+        """Return whether this attempt was promised never to start."""
+        return attempt <= self.given_up.get(name, (0, 0.0))[0]
+
+    def expire(self, now: float, retention_s: float) -> None:
+        """Forget starts and promises older than the retention."""
+        while self.started:
+            name, task = next(iter(self.started.items()))
+            if now - task.at <= retention_s or task.result is None:
+                break
+            del self.started[name]
+        while self.given_up:
+            name, (_, at) = next(iter(self.given_up.items()))
+            if now - at <= retention_s:
+                break
+            del self.given_up[name]
--- /dev/null
+++ b/hawthorntrack/state/uuid7.py
@@ -0,0 +1,41 @@
+"""Keys in UUIDv7 form, which carry the time they were made."""
+
+import os
+import uuid
+
+HEX_DIGITS = 32
+VERSION_DIGIT = 12
+
+
+def made_ms(key: str) -> int | None:
+    """Return the Unix time in milliseconds that a UUIDv7 key carries, or None.
+
+    Examples
+    --------
+    >>> made_ms("018bcfe5-6800-7000-8000-000000000000")
+    1700000000000
+    >>> made_ms("reservation-7") is None
+    True
+    """
+    digits = key.replace("-", "")
+    if len(digits) != HEX_DIGITS or digits[VERSION_DIGIT] != "7":
+        return None
+    try:
+        return int(digits, 16) >> 80
+    except ValueError:
+        return None
+
+
+def make(unix_ms: int) -> str:
+    """Return a new UUIDv7 for a time in milliseconds.
+
+    Examples
+    --------
+    >>> made_ms(make(1700000000000))
+    1700000000000
+    """
+    tail = int.from_bytes(os.urandom(10), "big")
+    number = (unix_ms << 80) | tail
+    number = number & ~(0xF << 76) | (0x7 << 76)
+    number = number & ~(0x3 << 62) | (0x2 << 62)
+    return str(uuid.UUID(int=number))
--- /dev/null
+++ b/hawthorntrack/transport/__init__.py
@@ -0,0 +1,1 @@
+"""The tasks that own sockets."""
--- /dev/null
+++ b/hawthorntrack/transport/announcements.py
@@ -0,0 +1,47 @@
+"""The interface by which a target announces itself to the guard beside it."""
+
+import asyncio
+
+import msgspec
+from aiohttp import web
+
+from hawthorntrack.protocol import local
+from hawthorntrack.protocol.bodies import BadBody, read_announcement
+from hawthorntrack.state.mailbox import Mailbox
+from hawthorntrack.state.outcomes import BAD_REQUEST, refuse
+from hawthorntrack.transport.web import JSON_TYPE, bad, read_body
+
+
+class AnnouncementsApi:
+    """Turns announcements into messages to the executor.
+
+    Parameters
+    ----------
+    executor : Mailbox
+        The task that runs tasks on the target.
+    """
+
+    def __init__(self, executor: Mailbox) -> None:
+        self.executor = executor
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the route of announcements."""
+        return [web.post("/announce", self.announce)]
+
+    async def announce(self, request: web.Request) -> web.Response:
+        """Take an announcement, to be renewed every second."""
+        body = await read_body(request)
+        if body is None:
+            return bad("slow_body", refuse(BAD_REQUEST, "The body came too slowly."))
+        try:
+            announcement = read_announcement(body)
+        except BadBody as error:
+            return bad(error.reason, refuse(BAD_REQUEST, str(error)))
+        reply = asyncio.get_running_loop().create_future()
+        self.executor.post(local.Announced(announcement, reply))
+        problem = await reply
+        status = 200 if problem is None else 409
+        text = {"taken": problem is None, "message": problem or ""}
+        return web.Response(
+            body=msgspec.json.encode(text), status=status, content_type=JSON_TYPE
+        )
--- /dev/null
+++ b/hawthorntrack/transport/bus.py
@@ -0,0 +1,178 @@
+"""Messages between the system's own processes, over pyzmq.
+
+One task owns the listening socket, another all sockets towards peers.
+"""
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import zmq
+import zmq.asyncio
+
+from hawthorntrack.protocol.codec import BadMessage, Codec
+from hawthorntrack.protocol.messages import Envelope
+from hawthorntrack.state.actor import Actor, handles
+from hawthorntrack.state.mailbox import Tick
+from hawthorntrack.state.metrics import BAD_INPUT, BUS_DROPS, MESSAGE_BYTES, MESSAGES
+from hawthorntrack.state.values import Incarnation
+
+QUEUE_BOUND = 10_000  # messages held for one peer
+MESSAGE_MAX_BYTES = 64_000_000
+RECONNECT_MS = 50
+RECONNECT_MAX_MS = 500
+HEARTBEAT_MS = 500
+HEARTBEAT_TIMEOUT_MS = 2_000
+CLOSE_LINGER_MS = 500
+IDLE_CLOSE_S = 60.0
+
+
+class Outgoing(NamedTuple):
+    """A message to send; a `to` without nonce is for any life of that address."""
+
+    to: Incarnation
+    body: Any
+
+
+class StampChanged(NamedTuple):
+    """The configuration stamp that outgoing messages carry from now on."""
+
+    stamp: int
+
+
+class Peer:
+    """The socket towards one address."""
+
+    def __init__(self, context: zmq.asyncio.Context, address: str, now: float) -> None:
+        self.socket = context.socket(zmq.PUSH, socket_class=zmq.Socket)
+        self.socket.set_hwm(QUEUE_BOUND)
+        self.socket.setsockopt(zmq.LINGER, CLOSE_LINGER_MS)
+        self.socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+        self.socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        self.socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
+        self.socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+        self.socket.connect(f"tcp://{address}")
+        self.used_at = now
+
+
+class BusSender(Actor):
+    """Owns the sockets towards peers."""
+
+    def __init__(
+        self,
+        context: zmq.asyncio.Context,
+        codec: Codec,
+        me: Incarnation,
+        local: Callable[[Incarnation, Any], None],
+    ) -> None:
+        super().__init__()
+        self.context = context
+        self.codec = codec
+        self.me = me
+        self.local = local
+        self.stamp = 0
+        self.peers: dict[str, Peer] = {}
+
+    def send(self, to: Incarnation, body: Any) -> None:
+        """Post a message to be sent; one to this process is delivered at once."""
+        if to == self.me:
+            self.local(self.me, body)
+        else:
+            self.mailbox.post(Outgoing(to, body))
+
+    @handles(StampChanged)
+    def set_stamp(self, changed: StampChanged, sender: Incarnation) -> None:
+        """Take the stamp for messages sent from now on."""
+        self.stamp = changed.stamp
+
+    @handles(Outgoing)
+    def push(self, message: Outgoing, sender: Incarnation) -> None:
+        """Hand a message to its peer's socket, or drop it when that is full."""
+        address = message.to.address
+        peer = self.peers.get(address)
+        if peer is None:
+            peer = self.peers[address] = Peer(self.context, address, self.now())
+        peer.used_at = self.now()
+        data = self.codec.encode(Envelope(self.me, self.stamp, message.body))
+        nonce = message.to.nonce.encode()
+        try:
+            peer.socket.send_multipart((nonce, data), zmq.DONTWAIT)
+        except zmq.Again:
+            BUS_DROPS.labels(reason="peer_queue_full").inc()
+            return
+        MESSAGES.labels(direction="out", type=type(message.body).__name__).inc()
+        MESSAGE_BYTES.labels(direction="out").inc(len(data))
+
+    @handles(Tick)
+    def close_idle(self, tick: Tick, sender: Incarnation) -> None:
+        """Close sockets that were not used for a while."""
+        idle = [
+            address
+            for address, peer in self.peers.items()
+            if self.now() - peer.used_at > IDLE_CLOSE_S
+        ]
+        for address in idle:
+            self.peers.pop(address).socket.close()
+
+    async def run(self) -> None:
+        """Send messages until cancelled, then flush what the sockets hold."""
+        try:
+            await super().run()
+        finally:
+            while not self.mailbox.queue.empty():
+                self.handle(self.mailbox.queue.get_nowait())
+            for peer in self.peers.values():
+                peer.socket.close()
+
+
+class BusReceiver:
+    """Owns the listening socket and delivers what arrives.
+
+    Parameters
+    ----------
+    deliver : callable
+        Takes each envelope.
+    """
+
+    def __init__(
+        self,
+        context: zmq.asyncio.Context,
+        codec: Codec,
+        me: Incarnation,
+        deliver: Callable[[Envelope], None],
+    ) -> None:
+        self.context = context
+        self.codec = codec
+        self.me = me
+        self.deliver = deliver
+
+    async def run(self) -> None:
+        """Receive messages for ever."""
+        socket = self.context.socket(zmq.PULL)
+        socket.set_hwm(QUEUE_BOUND)
+        socket.setsockopt(zmq.LINGER, 0)
+        socket.setsockopt(zmq.MAXMSGSIZE, MESSAGE_MAX_BYTES)
+        socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
+        socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+        socket.bind(f"tcp://{self.me.address}")
+        try:
+            while True:
+                self.receive(await socket.recv_multipart())
+        finally:
+            socket.close()
+
+    def receive(self, frames: list[bytes]) -> None:
+        """Decode and deliver one message; count and drop a bad one."""
+        try:
+            if len(frames) != 2:
+                raise BadMessage("frames", f"{len(frames)} frames in place of 2")
+            nonce, data = frames
+            if nonce and nonce != self.me.nonce.encode():
+                BUS_DROPS.labels(reason="other_incarnation").inc()
+                return
+            envelope = self.codec.decode(data)
+        except BadMessage as error:
+            BAD_INPUT.labels(edge="bus", reason=error.reason).inc()
+            return
+        MESSAGES.labels(direction="in", type=type(envelope.body).__name__).inc()
+        MESSAGE_BYTES.labels(direction="in").inc(len(data))
+        self.deliver(envelope)
--- /dev/null
+++ b/hawthorntrack/transport/callers.py
@@ -0,0 +1,81 @@
+"""The callers' interface of an entry instance: jobs over HTTP."""
+
+import asyncio
+
+from aiohttp import web
+
+from hawthorntrack.protocol import local
+from hawthorntrack.protocol.bodies import (
+    CUSTOMER_HEADER,
+    KEY_HEADER,
+    BadBody,
+    Caller,
+    read_job,
+)
+from hawthorntrack.state.mailbox import Mailbox
+from hawthorntrack.state.outcomes import BAD_REQUEST, QUEUE_FULL, refuse
+from hawthorntrack.state.settings import Bounds
+from hawthorntrack.state.values import Answer
+from hawthorntrack.transport.web import bad, read_body, respond
+
+
+class CallersApi:
+    """Turns callers' requests into messages to the router.
+
+    Parameters
+    ----------
+    router : Mailbox
+        The task that gets jobs to their owners.
+    bounds : Bounds
+        Bounds on what a request may hold.
+    """
+
+    def __init__(self, router: Mailbox, bounds: Bounds) -> None:
+        self.router = router
+        self.bounds = bounds
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes of the callers' interface."""
+        return [
+            web.post("/v1/services/{service}/jobs", self.submit),
+            web.get("/v1/services/{service}/jobs/{key}", self.look_up),
+            web.delete("/v1/services/{service}/jobs/{key}", self.cancel),
+        ]
+
+    async def submit(self, request: web.Request) -> web.Response:
+        """Take a job and answer it whole."""
+        body = await read_body(request)
+        if body is None:
+            return bad("slow_body", refuse(BAD_REQUEST, "The body came too slowly."))
+        caller = Caller(
+            request.match_info["service"],
+            request.headers.get(KEY_HEADER, ""),
+            request.headers.get(CUSTOMER_HEADER, ""),
+        )
+        try:
+            job = read_job(caller, body, self.bounds.tasks_per_job)
+        except BadBody as error:
+            return bad(error.reason, refuse(BAD_REQUEST, str(error)))
+        reply = asyncio.get_running_loop().create_future()
+        return await self.answered(job.key, local.Ask(job, reply))
+
+    async def look_up(self, request: web.Request) -> web.Response:
+        """Answer what is known of a job."""
+        return await self.ask(request, cancel=False)
+
+    async def cancel(self, request: web.Request) -> web.Response:
+        """Cancel a job and answer what came of it."""
+        return await self.ask(request, cancel=True)
+
+    async def ask(self, request: web.Request, cancel: bool) -> web.Response:
+        """Ask the router about a job."""
+        service, key = request.match_info["service"], request.match_info["key"]
+        reply = asyncio.get_running_loop().create_future()
+        return await self.answered(key, local.AskKnown(service, key, cancel, reply))
+
+    async def answered(self, key: str, ask: local.Ask | local.AskKnown) -> web.Response:
+        """Post a question and return the response that its answer makes."""
+        if not self.router.post(ask):
+            return respond(key, refuse(QUEUE_FULL))
+        answer: Answer = await ask.reply
+        return respond(key, answer)
--- /dev/null
+++ b/hawthorntrack/transport/target_client.py
@@ -0,0 +1,132 @@
+"""Runs tasks on the target beside this guard, over HTTP."""
+
+import asyncio
+
+import aiohttp
+import msgspec
+
+from hawthorntrack.protocol.bodies import RunBody
+from hawthorntrack.protocol.local import (
+    RunTask,
+    SetConnections,
+    StopTask,
+    TargetAnswered,
+)
+from hawthorntrack.state.actor import Actor, handles
+from hawthorntrack.state.mailbox import Mailbox
+from hawthorntrack.state.values import Incarnation
+
+OUTPUT_MAX_BYTES = 1_000_000
+CONNECT_TIMEOUT_S = 1.0
+
+
+class TargetClient(Actor):
+    """Owns the connections to the target.
+
+    Explanation
+    -----------
+    A connection that breaks after the request was sent means that the task may
+    have run: that is reported, and the request is never sent again.
+
+    Parameters
+    ----------
+    answers : Mailbox
+        Takes a `TargetAnswered` for each `RunTask`.
+    """
+
+    def __init__(self, answers: Mailbox) -> None:
+        super().__init__()
+        self.answers = answers
+        self.session: aiohttp.ClientSession | None = None
+        self.calls: dict[tuple[str, str, int], asyncio.Task[None]] = {}
+
+    @handles(SetConnections)
+    def open_session(self, change: SetConnections, sender: Incarnation) -> None:
+        """Open a session with at most that many connections."""
+        if self.session is not None:
+            self.spawn(self.session.close())
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=change.count, keepalive_timeout=30),
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+        )
+
+    @handles(RunTask)
+    def begin(self, task: RunTask, sender: Incarnation) -> None:
+        """Start a call and remember it, so that it can be told to stop."""
+        call = asyncio.get_running_loop().create_task(self.call(task))
+        self.calls[task.name] = call
+        self.spawned.add(call)
+        call.add_done_callback(self.settle)
+
+    @handles(StopTask)
+    def stop(self, stop: StopTask, sender: Incarnation) -> None:
+        """Close the call's connection: the target takes that as a stop."""
+        call = self.calls.get(stop.name)
+        if call is not None:
+            call.cancel()
+
+    async def call(self, task: RunTask) -> None:
+        """Post the task and report what came of it."""
+        begun = self.now()
+        try:
+            ok, output, spoiled = await self.post(task)
+        except aiohttp.ClientConnectorError as error:
+            ok, output, spoiled = False, fault("unreachable", error), True
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            ok, output, spoiled = False, fault("broken", error), True
+        except asyncio.CancelledError:
+            ok, output, spoiled = False, b'"stopped"', False
+        finally:
+            self.calls.pop(task.name, None)
+        run_ms = (self.now() - begun) * 1000
+        self.answers.post(TargetAnswered(task.name, ok, output, run_ms, spoiled))
+
+    async def post(self, task: RunTask) -> tuple[bool, bytes, bool]:
+        """Return whether it completed, its output, and whether to blame the target."""
+        body: RunBody = {
+            "key": task.key,
+            "index": task.index,
+            "kind": task.spec.kind,
+            "size_ms": task.spec.size_ms,
+            "input": msgspec.Raw(task.spec.input),
+        }
+        async with self.session.post(
+            f"http://{task.address}/run", data=msgspec.json.encode(body)
+        ) as response:
+            output = await response.content.read(OUTPUT_MAX_BYTES + 1)
+            while len(output) <= OUTPUT_MAX_BYTES and not response.content.at_eof():
+                output += await response.content.read(OUTPUT_MAX_BYTES + 1)
+            if len(output) > OUTPUT_MAX_BYTES:
+                return False, b'"output too large"', False
+            if response.status != 200:
+                return False, json_text(output), response.status >= 500
+        return is_json(output), json_text(output), False
+
+    async def run(self) -> None:
+        """Run tasks until cancelled, then close the connections."""
+        try:
+            await super().run()
+        finally:
+            if self.session is not None:
+                await self.session.close()
+
+
+def fault(kind: str, error: BaseException) -> bytes:
+    """Return JSON text for a call that failed without an answer."""
+    return msgspec.json.encode(f"{kind}: {error or type(error).__name__}")
+
+
+def is_json(output: bytes) -> bool:
+    """Return whether `output` is one JSON value."""
+    try:
+        msgspec.json.decode(output)
+    except (msgspec.DecodeError, ValueError, RecursionError):
+        return False
+    return True
+
+
+def json_text(output: bytes) -> bytes:
+    """Return `output`, as a JSON string where it is no JSON value."""
+    if is_json(output):
+        return output
+    return msgspec.json.encode(output[:200].decode("utf-8", "replace"))
--- /dev/null
+++ b/hawthorntrack/transport/web.py
@@ -0,0 +1,179 @@
+"""What the HTTP side of every process shares: health, metrics and bounds."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Mapping
+
+import msgspec
+from aiohttp import web
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+from hawthorntrack.protocol import local
+from hawthorntrack.protocol.bodies import answer_body, answer_status
+from hawthorntrack.state.mailbox import Mailbox
+from hawthorntrack.state.metrics import BAD_INPUT, REFUSALS
+from hawthorntrack.state.outcomes import (
+    BAD_REQUEST,
+    BODY_TOO_LARGE,
+    DRAINING,
+    QUEUE_FULL,
+    kinds,
+    refuse,
+)
+from hawthorntrack.state.settings import Settings
+from hawthorntrack.state.values import Answer
+
+BODY_TIMEOUT_S = 5.0
+STATUS_TIMEOUT_S = 1.0
+KEEPALIVE_S = 75.0
+CLOSE_LIMIT_S = 5.0
+JSON_TYPE = "application/json"
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class Readiness:
+    """Whether a process takes requests; shown to the platform's balancer."""
+
+    def __init__(self) -> None:
+        self.ready = False
+        self.reason = "starting"
+
+    def set(self, ready: bool, reason: str = "") -> None:
+        """Change the standing."""
+        self.ready = ready
+        self.reason = reason
+
+
+class WebServer:
+    """Owns a process's HTTP socket.
+
+    Parameters
+    ----------
+    settings : Settings
+        The address and the bounds.
+    readiness : Readiness
+        What ``/readyz`` shows.
+    tasks : mapping of str to Mailbox
+        Tasks that have a part in ``/status``.
+    routes : list of web.RouteDef
+        The routes of this kind of process.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        readiness: Readiness,
+        tasks: Mapping[str, Mailbox],
+        routes: list[web.RouteDef],
+    ) -> None:
+        self.settings = settings
+        self.readiness = readiness
+        self.tasks = tasks
+        self.runner: web.AppRunner | None = None
+        self.app = web.Application(
+            client_max_size=settings.bounds.body_bytes, middlewares=[self.bound]
+        )
+        self.app.add_routes(
+            [
+                web.get("/healthz", self.healthz),
+                web.get("/readyz", self.readyz),
+                web.get("/metrics", self.metrics),
+                web.get("/status", self.status),
+                *routes,
+            ]
+        )
+
+    @web.middleware
+    async def bound(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        """Refuse what is beyond the bounds, in the shape of every refusal."""
+        connections = len(self.runner.server.connections)
+        if connections > self.settings.bounds.connections:
+            return respond("", refuse(QUEUE_FULL, "Too many connections."))
+        try:
+            return await handler(request)
+        except web.HTTPRequestEntityTooLarge:
+            return bad("body_size", refuse(BODY_TOO_LARGE))
+        except web.HTTPException as error:
+            if error.status < 400:
+                raise
+            answer = refuse(BAD_REQUEST, f"{error.reason}.")
+            return bad("route", answer, status=error.status)
+
+    async def start(self) -> None:
+        """Open the socket."""
+        self.runner = web.AppRunner(
+            self.app,
+            access_log=None,
+            keepalive_timeout=KEEPALIVE_S,
+            shutdown_timeout=CLOSE_LIMIT_S,
+        )
+        await self.runner.setup()
+        host, _, port = self.settings.http.rpartition(":")
+        site = web.TCPSite(self.runner, host.strip("[]"), int(port), backlog=1024)
+        await site.start()
+
+    async def stop(self) -> None:
+        """Close the socket once open requests are answered."""
+        await self.runner.cleanup()
+
+    async def healthz(self, request: web.Request) -> web.Response:
+        """Say that the process runs."""
+        return web.Response(text="ok\n")
+
+    async def readyz(self, request: web.Request) -> web.Response:
+        """Say whether the process takes requests."""
+        ready = self.readiness.ready
+        text = "ready\n" if ready else f"{self.readiness.reason}\n"
+        return web.Response(text=text, status=200 if ready else 503)
+
+    async def metrics(self, request: web.Request) -> web.Response:
+        """Return the process's metrics."""
+        headers = {"Content-Type": CONTENT_TYPE_LATEST}
+        return web.Response(body=generate_latest(), headers=headers)
+
+    async def status(self, request: web.Request) -> web.Response:
+        """Return what each task shows of itself."""
+        loop = asyncio.get_running_loop()
+        replies = {name: loop.create_future() for name in self.tasks}
+        for name, reply in replies.items():
+            self.tasks[name].post(local.ShowStatus(reply))
+        await asyncio.wait(replies.values(), timeout=STATUS_TIMEOUT_S)
+        pages = {
+            name: reply.result() if reply.done() else None
+            for name, reply in replies.items()
+        }
+        return web.Response(body=msgspec.json.encode(pages), content_type=JSON_TYPE)
+
+
+async def read_body(request: web.Request) -> bytes | None:
+    """Return a request's body, or None where it did not come in time."""
+    try:
+        return await asyncio.wait_for(request.read(), BODY_TIMEOUT_S)
+    except TimeoutError:
+        return None
+
+
+def respond(key: str, answer: Answer, status: int | None = None) -> web.Response:
+    """Return the response that carries an answer."""
+    headers = {}
+    if answer.status == "refused" and kinds[answer.kind].retry_after_s:
+        headers["Retry-After"] = str(kinds[answer.kind].retry_after_s)
+    return web.Response(
+        body=msgspec.json.encode(answer_body(key, answer)),
+        status=status or answer_status(answer),
+        content_type=JSON_TYPE,
+        headers=headers,
+    )
+
+
+def bad(reason: str, answer: Answer, status: int | None = None) -> web.Response:
+    """Return the refusal of bad input, counted."""
+    BAD_INPUT.labels(edge="http", reason=reason).inc()
+    REFUSALS.labels(kind=answer.kind).inc()
+    return respond("", answer, status)
+
+
+def draining() -> web.Response:
+    """Return the refusal of a process that is stopping."""
+    REFUSALS.labels(kind=DRAINING.name).inc()
+    return respond("", refuse(DRAINING))
