Add the demo: a trace replayed against real processes and checked

Cause: nothing showed that answers are right beyond a single hand-made request. Ruled out: the 62 s stop was no hang of the bus; 'Drained' carried a name that no task had, so each guard sat out its drain limit, and the last had nobody to hand slots to.

--- a/hawthorntrack/coordination/executor.py
+++ b/hawthorntrack/coordination/executor.py
@@ -431,7 +431,7 @@
         RUNNING.set(len(self.running))
         QUEUED.labels(where="guard").set(len(self.queue))
         if self.draining and not self.running:
-            self.drained.post(local.Drained("executor"))
+            self.drained.post(local.Drained(type(self).__name__))
 
     @handles(local.ShowStatus)
     def show(self, ask: local.ShowStatus, sender: Incarnation) -> None:
--- a/hawthorntrack/coordination/keeper.py
+++ b/hawthorntrack/coordination/keeper.py
@@ -32,6 +32,7 @@
 
 DEFAULT_RETENTION_S = 600
 EXPIRE_INTERVAL_S = 5.0
+ALONE_AFTER_S = 2.0
 RUNNING = Answer("running", "", "", "")
 
 
@@ -306,8 +307,8 @@
         for phase in PHASES:
             count = sum(slot.state.phase == phase for slot in self.slots)
             SLOTS.labels(phase=phase).set(count)
-        if self.draining and not self.jobs and not self.holds_slots():
-            self.drained.post(local.Drained("keeper"))
+        if self.draining and not self.jobs and self.may_leave(now):
+            self.drained.post(local.Drained(type(self).__name__))
 
     def expire(self, now: float) -> None:
         """Forget keys and answers past the retention."""
@@ -322,9 +323,18 @@
         """Return how many slots are open here."""
         return sum(slot.state.phase == OPENED for slot in self.slots)
 
-    def holds_slots(self) -> bool:
-        """Return whether this guard still has a part in a slot."""
-        return any(slot.state.phase != IDLE for slot in self.slots)
+    def may_leave(self, now: float) -> bool:
+        """Return whether no slot is left here, or nobody to hand one to.
+
+        Explanation
+        -----------
+        When a whole environment stops at once, the last guards have no successor.
+        Their keys go with them, and the table shows that: whoever claims such a
+        slot later does so by a reset.
+        """
+        held = any(slot.state.phase != IDLE for slot in self.slots)
+        alone = not self.candidates and now - self.candidates_since > ALONE_AFTER_S
+        return alone or not held
 
     @handles(local.ShowStatus)
     def show(self, ask: local.ShowStatus, sender: Incarnation) -> None:
--- a/hawthorntrack/coordination/router.py
+++ b/hawthorntrack/coordination/router.py
@@ -268,7 +268,7 @@
         for number in late:
             settle(self.questions.pop(number).reply, refuse(NO_OWNER))
         if self.draining and not self.requests:
-            self.drained.post(local.Drained("router"))
+            self.drained.post(local.Drained(type(self).__name__))
 
     def run_out(self, request: Request) -> None:
         """Answer a request whose deadline has passed."""
--- a/hawthorntrack/daemon/guard.py
+++ b/hawthorntrack/daemon/guard.py
@@ -74,8 +74,9 @@
                 (client, 0),
                 (beats, settings.timing.beat_interval_s),
             ],
-            [keeper, executor, beats],
+            [keeper, executor],
             server,
+            [beats],
         )
     finally:
         await process.close()
--- a/hawthorntrack/daemon/process.py
+++ b/hawthorntrack/daemon/process.py
@@ -123,6 +123,7 @@
         actors: Iterable[tuple[Actor, float]],
         drainers: list[Actor],
         server: WebServer,
+        told: Iterable[Actor] = (),
     ) -> None:
         """Run until SIGTERM and the drain that follows.
 
@@ -134,6 +135,8 @@
             Tasks that report when they have drained.
         server : WebServer
             The process's HTTP side.
+        told : iterable of Actor
+            Tasks that are told of a drain and have nothing to report.
         """
         await server.start()
         stop = self.stop_on_signals()
@@ -144,7 +147,7 @@
                 if interval_s:
                     ticks = tick(actor.mailbox, interval_s)
                     running.append(group.create_task(ticks))
-            group.create_task(self.end(stop, running, drainers, server))
+            group.create_task(self.end(stop, running, drainers, server, told))
 
     def stop_on_signals(self) -> asyncio.Queue[int]:
         """Return a queue that gets each signal to stop."""
@@ -160,14 +163,14 @@
         running: list[asyncio.Task[None]],
         drainers: list[Actor],
         server: WebServer,
+        told: Iterable[Actor],
     ) -> None:
         """Wait for a signal, drain, deregister, and cancel the tasks."""
         await stop.get()
         self.life.begin_drain()
         self.readiness.set(False, "draining")
         log_message("process:draining", process=str(self.me.incarnation))
-        self.control.mailbox.post(local.Drain())
-        for actor in drainers:
+        for actor in (self.control, *told, *drainers):
             actor.mailbox.post(local.Drain())
         left = await self.drain(stop, {type(actor).__name__ for actor in drainers})
         await server.stop()
--- /dev/null
+++ b/hawthorntrack/experiment/replay.py
@@ -0,0 +1,305 @@
+"""Replays a trace against a deployment's real processes, and records the run."""
+
+import asyncio
+import contextlib
+import signal
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import msgspec
+from prometheus_client.parser import text_string_to_metric_families
+
+from hawthorntrack.experiment.launcher import ENVIRONMENT, Fleet
+from hawthorntrack.experiment.layout import deployments
+from hawthorntrack.experiment.records import Run, Submission, ZoneOut
+from hawthorntrack.experiment.trace import Event, Trace
+from hawthorntrack.protocol.rows import read_zones, write_zones, zones_key
+from hawthorntrack.state.registry import Registry
+
+STAMP_INTERVAL_S = 0.5
+SETTLE_S = 0.5
+ANSWER_LIMIT_S = 65.0
+
+acts: Registry[Callable] = Registry("trace act")
+
+
+class Replay:
+    """One run of a trace.
+
+    Parameters
+    ----------
+    trace : Trace
+        What happens when.
+    base_port : int
+        First of the ports used.
+    policy : str
+        Placement policy of the service's document.
+    """
+
+    def __init__(
+        self, trace: Trace, base_port: int = 21_000, policy: str = "expected_finish"
+    ) -> None:
+        deployment = deployments[trace.header["deployment"]]
+        if "speeds" in trace.header:
+            deployment = deployment._replace(speeds=tuple(trace.header["speeds"]))
+        self.trace = trace
+        settings = trace.header.get("settings")
+        self.fleet = Fleet(deployment, base_port, policy, settings)
+        self.submissions: list[Submission] = []
+        self.zones_out: list[ZoneOut] = []
+        self.stamps: dict[str, list[int]] = {}
+        self.notes: dict[str, Any] = {}
+        self.bodies: dict[str, dict[str, Any]] = {}
+        self.begun = 0.0
+
+    async def run(self) -> Run:
+        """Start the deployment, replay, stop it, and return the record."""
+        try:
+            await self.fleet.start()
+            watcher = asyncio.create_task(self.watch_stamps())
+            await self.play()
+            watcher.cancel()
+            await asyncio.sleep(SETTLE_S)
+            counters = await self.counters()
+            starts = await self.fleet.starts()
+            cpu_s = self.cpu_seconds()
+            codes = await self.fleet.stop()
+            self.notes["exit_codes"] = {n: c for n, c in codes.items() if c}
+        finally:
+            await self.fleet.close()
+        return Run(
+            self.submissions,
+            starts,
+            self.zones_out,
+            counters,
+            self.stamps,
+            cpu_s,
+            self.notes,
+        )
+
+    async def play(self) -> None:
+        """Carry out every event at its time, and wait for all answers."""
+        self.begun = time.monotonic()
+        async with asyncio.TaskGroup() as group:
+            for event in self.trace.events:
+                wait_s = self.begun + event.at_s - time.monotonic()
+                if wait_s > 0:
+                    await asyncio.sleep(wait_s)
+                group.create_task(self.carry_out(event))
+
+    async def carry_out(self, event: Event) -> None:
+        """Carry out one event."""
+        await acts[event.act](self, **event.arguments)
+
+    async def watch_stamps(self) -> None:
+        """Record the configuration stamp of each live daemon, again and again."""
+        while True:
+            for name in self.fleet.live([*self.fleet.guards(), *self.fleet.entries()]):
+                with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
+                    page = await asyncio.wait_for(self.fleet.status(name), 1.0)
+                    life = f"{name}/{page['control']['incarnation']}"
+                    self.stamps.setdefault(life, []).append(page["control"]["stamp"])
+            await asyncio.sleep(STAMP_INTERVAL_S)
+
+    async def counters(self) -> dict[str, float]:
+        """Return the sums of all counters over the live daemons."""
+        sums: dict[str, float] = {}
+        names = [*self.fleet.guards(), *self.fleet.entries()]
+        for name in self.fleet.live(names):
+            url = f"http://{self.fleet.http(name)}/metrics"
+            async with self.fleet.session.get(url) as response:
+                text = await response.text()
+            role = "entry" if name.startswith("entry") else "guard"
+            for family in text_string_to_metric_families(text):
+                for sample in family.samples:
+                    if sample.name.endswith("_total"):
+                        key = counter_key(sample.name, sample.labels, role)
+                        sums[key] = sums.get(key, 0.0) + sample.value
+        return sums
+
+    def cpu_seconds(self) -> dict[str, float]:
+        """Return processor seconds spent so far, by role."""
+        spent: dict[str, float] = {}
+        for name, process in self.fleet.processes.items():
+            role = name.rstrip("0123456789")
+            with contextlib.suppress(OSError):
+                spent[role] = spent.get(role, 0.0) + process_cpu_s(process.pid)
+        return spent
+
+    async def submit(self, key: str, body: dict[str, Any], entry: int) -> Submission:
+        """Submit a job and record its answer."""
+        names = self.fleet.live(self.fleet.entries())
+        url = self.jobs_url(names[entry % len(names)])
+        begun = time.monotonic()
+        headers = {
+            "Idempotency-Key": key,
+            "Hawthorntrack-Customer": body.pop("customer", "default"),
+        }
+        try:
+            data = msgspec.json.encode(body)
+            async with self.fleet.session.post(url, data=data, headers=headers) as got:
+                answer, code = msgspec.json.decode(await got.read()), got.status
+                status = answer["status"]
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            answer, code, status = {"error": str(error)}, 0, "cut"
+        ideal_ms = max(task["input"]["true_ms"] for task in body["tasks"])
+        record = Submission(
+            key,
+            len(body["tasks"]),
+            begun - self.begun,
+            time.monotonic() - begun,
+            status,
+            code,
+            answer,
+            max(ideal_ms, 1.0),
+        )
+        self.submissions.append(record)
+        return record
+
+    def jobs_url(self, entry: str) -> str:
+        """Return the address of the service's jobs at an entry instance."""
+        service = self.fleet.deployment.service
+        return f"http://{self.fleet.http(entry)}/v1/services/{service}/jobs"
+
+    async def change_zones(self, change: Callable[[set[str]], set[str]]) -> float:
+        """Write the zones out of service; return the Unix time of the write."""
+        key = zones_key(ENVIRONMENT)
+        found = [r for r in (await self.fleet.table.read(key)).rows if r.key == key]
+        out = set(read_zones(found[0])) if found else set()
+        await self.fleet.write_row(key, write_zones(change(out)))
+        return time.time()
+
+
+def counter_key(name: str, labels: dict[str, str], role: str) -> str:
+    """Return the name that a counter's sum goes by.
+
+    Examples
+    --------
+    >>> counter_key("hawthorntrack_not_run_total", {"reason": "draining"}, "guard")
+    'guard:not_run{draining}'
+    """
+    short = name.removeprefix("hawthorntrack_").removesuffix("_total")
+    return f"{role}:{short}{{{','.join(labels.values())}}}"
+
+
+def process_cpu_s(pid: int) -> float:
+    """Return the processor seconds that a process has spent."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / 100
+
+
+# --- what a trace can do
+
+
+@acts.register("job")
+async def submit_job(
+    replay: Replay,
+    key: str,
+    tasks: list[dict[str, Any]],
+    entry: int = 0,
+    customer: str = "default",
+    repeatable: bool = False,
+    deadline_ms: int | None = None,
+) -> None:
+    """Submit a job; each task gives `size_ms`, `true_ms`, `kind`, `poison`."""
+    kinds = replay.fleet.deployment.kinds
+    body: dict[str, Any] = {
+        "customer": customer,
+        "repeatable": repeatable,
+        "tasks": [
+            {
+                "kind": task.get("kind", kinds[index % len(kinds)]),
+                "size_ms": task["size_ms"],
+                "input": {
+                    "true_ms": task.get("true_ms", task["size_ms"]),
+                    "echo": f"{key}/{index}",
+                    "poison": task.get("poison", False),
+                },
+            }
+            for index, task in enumerate(tasks)
+        ],
+    }
+    if deadline_ms is not None:
+        body["deadline_ms"] = deadline_ms
+    replay.bodies[key] = body
+    await replay.submit(key, dict(body), entry)
+
+
+@acts.register("resubmit")
+async def resubmit(replay: Replay, key: str, entry: int = 0, times: int = 1) -> None:
+    """Submit a job again, by the same key and body, so many times at once."""
+    body = replay.bodies[key]
+    copies = (replay.submit(key, dict(body), entry + n) for n in range(times))
+    await asyncio.gather(*copies)
+
+
+@acts.register("cancel")
+async def cancel(replay: Replay, key: str, entry: int = 0) -> None:
+    """Cancel a job."""
+    names = replay.fleet.live(replay.fleet.entries())
+    url = f"{replay.jobs_url(names[entry % len(names)])}/{key}"
+    async with replay.fleet.session.delete(url) as response:
+        await response.read()
+
+
+@acts.register("zone_out")
+async def take_zone_out(replay: Replay, zone: str) -> None:
+    """Take a zone out of service."""
+    since = await replay.change_zones(lambda out: out | {zone})
+    replay.zones_out.append(ZoneOut(zone, since, float("inf")))
+
+
+@acts.register("zone_back")
+async def bring_zone_back(replay: Replay, zone: str) -> None:
+    """Bring a zone back into service."""
+    until = time.time()
+    await replay.change_zones(lambda out: out - {zone})
+    replay.zones_out = [
+        out._replace(until=until)
+        if out.zone == zone and out.until == float("inf")
+        else out
+        for out in replay.zones_out
+    ]
+
+
+@acts.register("fault")
+async def set_fault(replay: Replay, process: str, **fault: Any) -> None:
+    """Set the fault of the table's or a target's stand-in."""
+    await replay.fleet.fault(process, **fault)
+
+
+@acts.register("kill")
+async def kill(replay: Replay, process: str) -> None:
+    """Kill a process at once."""
+    replay.notes["target_killed"] = process.startswith("target")
+    replay.fleet.signal(process, signal.SIGKILL)
+
+
+@acts.register("freeze")
+async def freeze(replay: Replay, process: str) -> None:
+    """Stop a process from running, without its knowing."""
+    replay.fleet.signal(process, signal.SIGSTOP)
+
+
+@acts.register("resume")
+async def resume(replay: Replay, process: str) -> None:
+    """Let a frozen process run again."""
+    replay.fleet.signal(process, signal.SIGCONT)
+
+
+@acts.register("restart")
+async def restart(replay: Replay, process: str) -> None:
+    """Stop a daemon gracefully and start it anew."""
+    replay.fleet.signal(process, signal.SIGTERM)
+    code = await replay.fleet.stopped(process)
+    replay.notes.setdefault("restart_codes", {})[process] = code
+    replay.fleet.spawn_daemon(process)
+
+
+@acts.register("start")
+async def start(replay: Replay, process: str) -> None:
+    """Start a daemon that was killed."""
+    replay.fleet.spawn_daemon(process)
