Add the command-line tool and the model check over the product's decisions

Cause: operators had no way in, and the slot protocol was only argued for. Change: hawthorntrack document/zone/status/job/guard with settled writes, conflict errors that name both versions, and exit codes; breadth-first search and walks over ownership.decide with late writes, lost answers, doubled and delayed messages, crashes and restarts; a second specification for configuration versions; mutations that must be caught. An unknown job is answered 'unknown, maybe', no longer 'refused, ran no', since a key past the retention may have run. Ruled out: uniform random walks for the mutations: 20,000 walks spent their epochs on claims and found one of two within 239 s; breadth-first from an opened pair is used.

--- /dev/null
+++ b/hawthorntrack/cli/__init__.py
@@ -0,0 +1,1 @@
+"""``hawthorntrack``: the operators' and callers' command-line tool."""
--- /dev/null
+++ b/hawthorntrack/cli/fleet.py
@@ -0,0 +1,300 @@
+"""Commands on the fleet: zones, status, and forgetting a guard."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Any
+
+import aiohttp
+import click
+import msgspec
+
+from hawthorntrack.cli.context import (
+    EXIT_BAD_INPUT,
+    EXIT_CONFLICT,
+    EXIT_TIMED_OUT,
+    CommandError,
+    Context,
+    command,
+)
+from hawthorntrack.protocol.rows import (
+    entries_prefix,
+    guard_key,
+    guards_prefix,
+    read_guards,
+    read_slots,
+    read_zones,
+    slots_prefix,
+    write_zones,
+    zones_key,
+)
+from hawthorntrack.state.table import ABSENT, Conflict
+from hawthorntrack.state.values import GuardInfo
+
+STATUS_TIMEOUT_S = 1.0
+WAIT_POLL_S = 0.2
+
+
+async def ask_status(
+    session: aiohttp.ClientSession, process: GuardInfo
+) -> dict[str, Any] | None:
+    """Return a process's status page, or None where it does not answer."""
+    try:
+        async with session.get(f"http://{process.http}/status") as response:
+            return msgspec.json.decode(await response.read())
+    except (aiohttp.ClientError, OSError, TimeoutError, msgspec.DecodeError):
+        return None
+
+
+async def statuses(
+    processes: list[GuardInfo],
+) -> dict[str, dict[str, Any] | None]:
+    """Return the status pages of processes by bus address."""
+    timeout = aiohttp.ClientTimeout(total=STATUS_TIMEOUT_S)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        pages = await asyncio.gather(*(ask_status(session, p) for p in processes))
+    names = [process.incarnation.address for process in processes]
+    return dict(zip(names, pages, strict=True))
+
+
+async def everyone(context: Context) -> list[GuardInfo]:
+    """Return all registered guards and entry instances."""
+    environment = context.environment
+    guards = read_guards(await context.rows(guards_prefix(environment)))
+    entries = read_guards(await context.rows(entries_prefix(environment)))
+    return [*guards.values(), *entries.values()]
+
+
+# --- zones
+
+
+@click.group()
+def zone() -> None:
+    """Zones: take a data centre out of service, and bring it back."""
+
+
+async def change(context: Context, after: Callable[[set[str]], set[str]]) -> int:
+    """Change the zones out of service; return the version that was written."""
+    key = zones_key(context.environment)
+    row = await context.row(key)
+    before = set(read_zones(row)) if row else set()
+    wanted = after(before)
+    if row is not None and wanted == before:
+        return row.version
+    expect = row.version if row else ABSENT
+    outcome = await context.write(key, expect, write_zones(wanted))
+    if isinstance(outcome, Conflict):
+        met = read_zones(outcome.row) if outcome.row else []
+        raise CommandError(
+            "conflict",
+            f"Another operator changed the zones meanwhile: {', '.join(met) or 'none'}"
+            " are out now. Look with `zone list` and try again.",
+            EXIT_CONFLICT,
+        )
+    return outcome.version
+
+
+async def known_zone(context: Context, name: str) -> None:
+    """Refuse a zone that no registered process is in."""
+    zones = {process.place.zone for process in await everyone(context)}
+    if name not in zones:
+        raise CommandError(
+            "unknown_zone",
+            f"No process is registered in {name!r}. Known zones:"
+            f" {', '.join(sorted(zones)) or 'none'}.",
+            EXIT_BAD_INPUT,
+        )
+
+
+async def wait_confirmed(context: Context, version: int, limit_s: float) -> None:
+    """Wait until every registered process acts on a version; show who does not."""
+    begun = time.monotonic()
+    processes = await everyone(context)
+    with click.progressbar(
+        length=len(processes), label="confirmed", hidden=context.as_json
+    ) as bar:
+        while True:
+            pages = await statuses(processes)
+            behind = [
+                name for name, page in pages.items() if not acts_on(page, version)
+            ]
+            bar.update(len(processes) - len(behind) - bar.pos)
+            if not behind or time.monotonic() - begun > limit_s:
+                break
+            await asyncio.sleep(WAIT_POLL_S)
+    spent_s = time.monotonic() - begun
+    if behind:
+        raise CommandError(
+            "not_confirmed",
+            f"After {spent_s:.1f} s these have not confirmed: {', '.join(behind)}. A"
+            " process that is frozen or cut off from the table and its peers starts"
+            " nothing once its view is stale; see docs/OPERATIONS.md.",
+            EXIT_TIMED_OUT,
+        )
+    context.show(
+        {"confirmed": len(processes), "seconds": round(spent_s, 2)},
+        [f"all {len(processes)} processes act on it, after {spent_s:.1f} s"],
+    )
+
+
+def acts_on(page: dict[str, Any] | None, version: int) -> bool:
+    """Return whether a status page shows a version in force."""
+    return bool(page and page["control"] and page["control"]["stamp"] >= version)
+
+
+wait_options = (
+    click.option("--wait", is_flag=True, help="Wait until every process confirmed."),
+    click.option("--limit", default=30.0, help="Seconds to wait.", show_default=True),
+)
+
+
+def with_wait(function: Callable) -> Callable:
+    """Add the options about waiting."""
+    for option in wait_options:
+        function = option(function)
+    return function
+
+
+@zone.command()
+@click.argument("name")
+@with_wait
+@command
+async def out(context: Context, name: str, wait: bool, limit: float) -> None:
+    """Take zone NAME out of service: no task starts there any more."""
+    await known_zone(context, name)
+    version = await change(context, lambda before: before | {name})
+    context.show({"zone": name, "out": True}, [f"{name} is out of service"])
+    if wait:
+        await wait_confirmed(context, version, limit)
+
+
+@zone.command()
+@click.argument("name")
+@with_wait
+@command
+async def back(context: Context, name: str, wait: bool, limit: float) -> None:
+    """Bring zone NAME back into service."""
+    version = await change(context, lambda before: before - {name})
+    context.show({"zone": name, "out": False}, [f"{name} is in service"])
+    if wait:
+        await wait_confirmed(context, version, limit)
+
+
+@zone.command(name="list")
+@command
+async def list_zones(context: Context) -> None:
+    """List zones, their guards, and whether they are in service."""
+    row = await context.row(zones_key(context.environment))
+    out_now = set(read_zones(row)) if row else set()
+    guards = read_guards(await context.rows(guards_prefix(context.environment)))
+    counts: dict[str, int] = {}
+    for guard in guards.values():
+        counts[guard.place.zone] = counts.get(guard.place.zone, 0) + 1
+    zones = sorted(counts.keys() | out_now)
+    context.show(
+        [{"zone": z, "guards": counts.get(z, 0), "out": z in out_now} for z in zones],
+        [
+            f"{z:<16} {counts.get(z, 0):>5} guards  "
+            f"{'out of service' if z in out_now else 'in service'}"
+            for z in zones
+        ],
+    )
+
+
+# --- status
+
+
+@click.command()
+@click.option("--slots", is_flag=True, help="List every slot with its pair.")
+@command
+async def status(context: Context, slots: bool) -> None:
+    """Show who is there, which version each acts on, and who owns the slots."""
+    processes = await everyone(context)
+    pages = await statuses(processes)
+    rows = read_slots(await context.rows(slots_prefix(context.environment)))
+    value = {
+        "processes": [
+            process_value(process, pages[process.incarnation.address])
+            for process in processes
+        ],
+        "slots": {str(number): slot._asdict() for number, slot in rows.items()},
+    }
+    lines = [process_line(item) for item in value["processes"]]
+    open_now = sum(row.formed for row in rows.values())
+    lines.append(f"slots: {open_now} open, {len(rows) - open_now} moving")
+    if slots:
+        lines += [
+            f"slot {number:>5}  epoch {row.epoch:>4}  owner {row.owner.address}"
+            f"  witness {row.witness.address}  {'open' if row.formed else 'moving'}"
+            for number, row in sorted(rows.items())
+        ]
+    context.show(value, lines)
+
+
+def process_value(process: GuardInfo, page: dict[str, Any] | None) -> dict[str, Any]:
+    """Return what the status shows of one process."""
+    control = (page or {}).get("control") or {}
+    keeper = (page or {}).get("keeper") or {}
+    executor = (page or {}).get("executor") or {}
+    return {
+        "address": process.incarnation.address,
+        "nonce": process.incarnation.nonce,
+        "role": "guard" if keeper else "entry" if page else "unknown",
+        "zone": process.place.zone,
+        "draining": process.draining,
+        "answers": page is not None,
+        "stamp": control.get("stamp"),
+        "documents": control.get("documents"),
+        "fresh": control.get("fresh"),
+        "slots_owned": len(keeper.get("slots", {}).get("opened", [])),
+        "target": (executor.get("target") or {}).get("address"),
+    }
+
+
+def process_line(item: dict[str, Any]) -> str:
+    """Return one line of the status for people."""
+    state = "draining" if item["draining"] else "serving"
+    if not item["answers"]:
+        state = "no answer"
+    return (
+        f"{item['role']:<8} {item['address']:<22} {item['zone']:<12} {state:<10}"
+        f" version {item['stamp']}  owns {item['slots_owned']} slots"
+        f"  target {item['target'] or '-'}"
+    )
+
+
+# --- guards
+
+
+@click.group()
+def guard() -> None:
+    """Guards: forget one that will never come back."""
+
+
+@guard.command()
+@click.argument("address")
+@click.option("--yes", is_flag=True, help="Do not ask.")
+@command
+async def forget(context: Context, address: str, yes: bool) -> None:
+    """Remove the registration of the guard at ADDRESS.
+
+    Only for a guard whose process has ended for good: slots whose two guards are both
+    gone open again after this, and keys they may have admitted are answered `failed,
+    may have run`. A guard that still runs ends itself when it sees this.
+    """
+    key = guard_key(context.environment, address)
+    row = await context.row(key)
+    if row is None:
+        raise CommandError(
+            "no_guard", f"No guard is registered at {address}.", EXIT_BAD_INPUT
+        )
+    if not yes:
+        click.confirm(f"Has the process at {address} ended for good?", abort=True)
+    outcome = await context.write(key, row.version, None)
+    if isinstance(outcome, Conflict):
+        raise CommandError(
+            "conflict",
+            f"A new process has registered at {address} meanwhile: nothing was done.",
+            EXIT_CONFLICT,
+        )
+    context.show({"forgotten": address}, [f"{address} is forgotten"])
--- /dev/null
+++ b/hawthorntrack/cli/jobs.py
@@ -0,0 +1,132 @@
+"""Commands on jobs: submit, show, cancel."""
+
+import sys
+import time
+from typing import Any
+
+import aiohttp
+import click
+import msgspec
+
+from hawthorntrack.cli.context import (
+    EXIT_BAD_INPUT,
+    EXIT_FAILED,
+    CommandError,
+    Context,
+    command,
+)
+from hawthorntrack.protocol.bodies import CUSTOMER_HEADER, KEY_HEADER
+from hawthorntrack.protocol.rows import entries_prefix, read_guards
+from hawthorntrack.state import uuid7
+
+REQUEST_TIMEOUT_S = 3_700.0
+
+
+@click.group()
+def job() -> None:
+    """Jobs: submit one, look at it, cancel it."""
+
+
+async def find_entry(context: Context, given: str | None) -> str:
+    """Return the HTTP address of an entry instance."""
+    if given:
+        return given
+    entries = read_guards(await context.rows(entries_prefix(context.environment)))
+    serving = [entry for entry in entries.values() if not entry.draining]
+    if not serving:
+        raise CommandError(
+            "no_entry",
+            "No entry instance is registered. Start one, or name it with --entry.",
+            EXIT_FAILED,
+        )
+    return serving[0].http
+
+
+async def call(
+    method: str, url: str, headers: dict[str, str], data: bytes | None = None
+) -> dict[str, Any]:
+    """Return the answer of an entry instance."""
+    timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
+    async with (
+        aiohttp.ClientSession(timeout=timeout) as session,
+        session.request(method, url, headers=headers, data=data) as response,
+    ):
+        return msgspec.json.decode(await response.read(), type=dict[str, Any])
+
+
+def report(context: Context, answer: dict[str, Any]) -> None:
+    """Print an answer; exit 1 unless the job is complete or running."""
+    lines = [f"{answer['job']}: {answer['status']}"]
+    if "message" in answer:
+        lines.append(f"{answer['kind']}, ran: {answer['ran']}. {answer['message']}")
+    lines += [
+        f"{index}: {msgspec.json.encode(item).decode()}"
+        for index, item in enumerate(answer.get("results", []))
+    ]
+    context.show(answer, lines)
+    if answer["status"] not in ("complete", "running"):
+        sys.exit(EXIT_FAILED)
+
+
+entry_option = click.option("--entry", help="ip:port of an entry instance's HTTP side.")
+
+
+@job.command()
+@click.argument("service")
+@click.argument("file", type=click.File("rb"))
+@click.option("--key", help="Idempotency key; a new UUIDv7 if none is given.")
+@click.option("--customer", default="default", show_default=True)
+@entry_option
+@command
+async def submit(
+    context: Context,
+    service: str,
+    file: Any,
+    key: str | None,
+    customer: str,
+    entry: str | None,
+) -> None:
+    """Submit the job in FILE (JSON, or - for standard input) to SERVICE."""
+    data = file.read()
+    try:
+        msgspec.json.decode(data)
+    except msgspec.DecodeError as error:
+        raise CommandError(
+            "bad_file",
+            f"{file.name} is no JSON: {error}. docs/CALLERS.md shows a job.",
+            EXIT_BAD_INPUT,
+        ) from error
+    address = await find_entry(context, entry)
+    key = key or uuid7.make(int(time.time() * 1000))
+    headers = {KEY_HEADER: key, CUSTOMER_HEADER: customer}
+    url = f"http://{address}/v1/services/{service}/jobs"
+    report(context, await call("POST", url, headers, data))
+
+
+@job.command()
+@click.argument("service")
+@click.argument("key")
+@entry_option
+@command
+async def show(context: Context, service: str, key: str, entry: str | None) -> None:
+    """Show what is known of the job with KEY."""
+    address = await find_entry(context, entry)
+    url = f"http://{address}/v1/services/{service}/jobs/{key}"
+    report(context, await call("GET", url, {}))
+
+
+@job.command()
+@click.argument("service")
+@click.argument("key")
+@entry_option
+@command
+async def cancel(context: Context, service: str, key: str, entry: str | None) -> None:
+    """Cancel the job with KEY: what has not started never will."""
+    address = await find_entry(context, entry)
+    url = f"http://{address}/v1/services/{service}/jobs/{key}"
+    answer = await call("DELETE", url, {})
+    cancelled = answer.get("kind") == "cancelled"
+    if cancelled:
+        context.show(answer, [f"{key}: cancelled, ran: {answer['ran']}"])
+    else:
+        report(context, answer)
--- /dev/null
+++ b/hawthorntrack/conftest.py
@@ -0,0 +1,87 @@
+"""Fixtures that tests of all layers share."""
+
+import random
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import looptime
+import pytest
+
+from hawthorntrack.experiment.layout import Ports, deployments, document_body
+from hawthorntrack.state.documents import Document, document_of
+from hawthorntrack.state.settings import Settings, settings_of
+from hawthorntrack.state.values import Incarnation, JobSpec, Place, TargetLoad, TaskSpec
+
+SEED = 20_261_204
+
+
+@pytest.fixture
+def run() -> Iterator[Callable[[Any], Any]]:
+    """Run a coroutine on a loop whose clock is advanced, never waited for."""
+    loop = looptime.new_event_loop(start=1_000.0)
+    yield loop.run_until_complete
+    loop.close()
+
+
+@pytest.fixture
+def rng() -> random.Random:
+    """Return a source of chance that is the same in every run."""
+    return random.Random(SEED)
+
+
+@pytest.fixture
+def document() -> Document:
+    """Return the visit service's document at version 1."""
+    return document_of(document_body(deployments["jardim"]), 1)
+
+
+@pytest.fixture
+def settings() -> Settings:
+    """Return a guard's settings."""
+    return settings_of(
+        {
+            "environment": "production",
+            "zone": "recife",
+            "rack": "recife-r0",
+            "worker": "w000",
+            "listen": {"bus": Ports(31_000).bus(0), "http": Ports(31_000).http(0)},
+            "table": {"url": "http://127.0.0.1:31999"},
+            "slots": 4,
+        },
+        "test",
+    )
+
+
+@pytest.fixture
+def guards() -> list[Incarnation]:
+    """Return four guards."""
+    return [Incarnation(f"127.0.0.1:{31_001 + n}", f"n{n}") for n in range(4)]
+
+
+@pytest.fixture
+def places() -> list[Place]:
+    """Return the places of those guards: two racks of one zone, then two zones."""
+    return [
+        Place("recife", "recife-r0", "w0"),
+        Place("recife", "recife-r1", "w1"),
+        Place("olinda", "olinda-r2", "w2"),
+        Place("jaboatao", "jaboatao-r3", "w3"),
+    ]
+
+
+@pytest.fixture
+def make_job() -> Callable[..., JobSpec]:
+    """Return a function that makes a job of so many tasks."""
+
+    def make(key: str = "k", tasks: int = 2, **changes: Any) -> JobSpec:
+        spec = TaskSpec("confirm", b"null", 100)
+        job = JobSpec(key, b"d", "visits", "jardim", (spec,) * tasks, False, 4_000)
+        return job._replace(**changes)
+
+    return make
+
+
+@pytest.fixture
+def load() -> TargetLoad:
+    """Return the load of an idle target."""
+    return TargetLoad("visits", ("confirm", "reroute", "check"), 8, 0, 0, 1.0)
--- a/hawthorntrack/coordination/keeper.py
+++ b/hawthorntrack/coordination/keeper.py
@@ -269,7 +269,7 @@
         elif slot.state.phase != OPENED:
             answer = refuse(SLOT_MOVING)
         elif record is None:
-            answer = refuse(UNKNOWN_JOB)
+            answer = Answer("unknown", UNKNOWN_JOB.name, "maybe", "")
         else:
             answer = self.remembered(ask.service, ask.key, record)
         self.reply(Asker(sender, ask.request), answer, slot)
--- a/hawthorntrack/protocol/bodies.py
+++ b/hawthorntrack/protocol/bodies.py
@@ -194,5 +194,5 @@
     >>> answer_status(Answer("refused", "customer_limit", "no", ""))
     429
     """
-    refused = answer.status == "refused" and answer.kind in kinds
-    return kinds[answer.kind].http_status if refused else 200
+    known = answer.status in ("refused", "unknown") and answer.kind in kinds
+    return kinds[answer.kind].http_status if known else 200
--- /dev/null
+++ b/hawthorntrack/specs/__init__.py
@@ -0,0 +1,1 @@
+"""Small specifications, checked over the product's own decision functions."""
--- /dev/null
+++ b/hawthorntrack/specs/mutations.py
@@ -0,0 +1,71 @@
+"""Mutations of the slot decisions that the search must catch."""
+
+from typing import Any
+
+from hawthorntrack.coordination import ownership as own
+from hawthorntrack.specs.slot_protocol import Decide
+from hawthorntrack.state.registry import Registry
+from hawthorntrack.state.slots import (
+    CLAIMING,
+    FORMING,
+    OPENED,
+    SEALING,
+    WITNESS,
+    SlotState,
+)
+from hawthorntrack.state.values import Incarnation
+
+mutations: Registry[Decide] = Registry("mutation")
+
+
+@mutations.register("no_forming")
+def open_without_forming(me: Incarnation, state: SlotState, event: Any) -> own.Step:
+    """Write the claim as formed, and open before the witness holds the keys."""
+    step = own.decide(me, state, event)
+    if isinstance(event, own.Claim) and step.state.phase == CLAIMING:
+        row = step.state.wrote._replace(
+            formed=True, last_owner=me, last_witness=step.state.peer
+        )
+        commands = tuple(
+            command._replace(row=row) if isinstance(command, own.WriteRow) else command
+            for command in step.commands
+        )
+        return own.Step(step.state._replace(wrote=row), commands)
+    if isinstance(event, own.WriteTook) and step.state.phase == FORMING:
+        return own.Step(step.state._replace(phase=OPENED), step.commands)
+    return step
+
+
+@mutations.register("claimer_acknowledges")
+def acknowledge_while_claiming(
+    me: Incarnation, state: SlotState, event: Any
+) -> own.Step:
+    """Go on taking notes of the old epoch while claiming the next."""
+    claiming = state.phase in (CLAIMING, FORMING, SEALING)
+    if isinstance(event, own.NoteArrived) and claiming:
+        return own.Step(state, (own.TakeNote(event.sender, event.epoch),))
+    return own.decide(me, state, event)
+
+
+@mutations.register("claimer_admits")
+def admit_while_claiming(me: Incarnation, state: SlotState, event: Any) -> own.Step:
+    """Go on admitting as the old owner while claiming the next epoch."""
+    step = own.decide(me, state, event)
+    if isinstance(event, own.Claim) and state.phase == OPENED:
+        kept = (c for c in step.commands if not isinstance(c, own.RefusePending))
+        return own.Step(step.state, tuple(kept))
+    if isinstance(event, own.NoteConfirmed) and state.phase != WITNESS:
+        return own.Step(state, (own.AdmitNoted(),))
+    return step
+
+
+@mutations.register("forming_witness_claims")
+def let_forming_witness_claim(
+    me: Incarnation, state: SlotState, event: Any
+) -> own.Step:
+    """Let a pair that was never formed claim over its own forming row."""
+    row = state.row
+    if isinstance(event, own.Claim) and row and me in (row.owner, row.witness):
+        lenient = row._replace(last_owner=row.owner, last_witness=row.witness)
+        return own.decide(me, state._replace(row=lenient), event)
+    return own.decide(me, state, event)
--- a/hawthorntrack/state/outcomes.py
+++ b/hawthorntrack/state/outcomes.py
@@ -66,7 +66,11 @@
     404,
     "Check the service's name, or have its document put into this environment.",
 )
-UNKNOWN_JOB = define("unknown_job", 404, "Check the key, or submit the job.")
+UNKNOWN_JOB = define(
+    "unknown_job",
+    404,
+    "Check the key. A key past the retention is forgotten, whether its job ran or not.",
+)
 KEY_CONFLICT = define(
     "key_conflict",
     409,
