--- /dev/null
+++ b/hawthorntrack/coordination/tests/conftest.py
@@ -0,0 +1,81 @@
+"""Fixtures for tests of decisions and of the tasks around them."""
+
+from typing import Any
+
+import pytest
+
+from hawthorntrack.protocol import local
+from hawthorntrack.state.actor import Delivery
+from hawthorntrack.state.control import ControlView
+from hawthorntrack.state.mailbox import Mailbox, Tick
+from hawthorntrack.state.values import GuardInfo, Incarnation
+
+
+class Wire:
+    """Takes what a task sends, in place of the bus."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[Incarnation, Any]] = []
+
+    def send(self, to: Incarnation, body: Any) -> None:
+        """Keep a message."""
+        self.sent.append((to, body))
+
+    def take(self, kind: type) -> list[Any]:
+        """Return and drop the messages of a type."""
+        found = [body for _, body in self.sent if type(body) is kind]
+        self.sent = [item for item in self.sent if type(item[1]) is not kind]
+        return found
+
+
+def posted(box: Mailbox, kind: type) -> list[Any]:
+    """Return and drop the messages of a type that were posted to a task."""
+    items = [box.queue.get_nowait() for _ in range(box.queue.qsize())]
+    for item in items:
+        if type(item) is not kind:
+            box.post(item)
+    return [item for item in items if type(item) is kind]
+
+
+@pytest.fixture
+def wire():
+    return Wire()
+
+
+@pytest.fixture
+def box():
+    return Mailbox("test")
+
+
+@pytest.fixture
+def infos(guards, places):
+    return [
+        GuardInfo(guard, place, "127.0.0.1:1", False)
+        for guard, place in zip(guards, places, strict=True)
+    ]
+
+
+@pytest.fixture
+def view(infos, document):
+    """Return a view in which all guards serve, confirmed at the clock's begin."""
+    return ControlView(
+        stamp=1,
+        documents={"visits": document},
+        guards={info.incarnation.address: info for info in infos},
+        confirmed_at=1_000.0,
+    )
+
+
+def tell(actor, body, sender=None):
+    """Have a task handle a message, from another process if a sender is given."""
+    actor.handle(Delivery(sender, body) if sender else body)
+
+
+def show_view(actor, view):
+    """Give a task a view confirmed now."""
+    tell(actor, local.ViewChanged(view._replace(confirmed_at=actor.now())))
+
+
+def tick(actor):
+    """Let a task do its upkeep."""
+    actor.handle(Tick())
--- /dev/null
+++ b/hawthorntrack/coordination/tests/fakes.py
@@ -0,0 +1,256 @@
+"""Fakes at the interfaces of a few guards and an entry, on a loop whose clock is
+advanced: a bus that can be cut, guards that can be frozen, a table with outages."""
+
+import asyncio
+import random
+from collections import Counter
+from typing import Any
+
+from hawthorntrack.coordination.beats import Heartbeats
+from hawthorntrack.coordination.control import Control
+from hawthorntrack.coordination.executor import Executor
+from hawthorntrack.coordination.keeper import SlotKeeper
+from hawthorntrack.coordination.router import Router
+from hawthorntrack.coordination.runner import JobRunner
+from hawthorntrack.daemon.entry import ROUTER_MESSAGES
+from hawthorntrack.daemon.guard import (
+    EXECUTOR_MESSAGES,
+    KEEPER_MESSAGES,
+    RUNNER_MESSAGES,
+)
+from hawthorntrack.protocol import local, messages, rows
+from hawthorntrack.state.actor import Actor, Delivery, handles
+from hawthorntrack.state.mailbox import Mailbox, tick
+from hawthorntrack.state.settings import Settings
+from hawthorntrack.state.table import MemoryTable, Unavailable, Unsettled
+from hawthorntrack.state.values import GuardInfo, Incarnation, JobSpec, Place
+
+DELAY_S = 0.002
+TICK_S = 0.1
+CONTROL_MESSAGES = (messages.AskConfig, messages.ConfigRows)
+
+
+class FaultyTable(MemoryTable):
+    """A table that can be down, or lose the answers of writes."""
+
+    mode = "up"
+
+    async def read(self, prefix: str) -> Any:
+        """Return rows, unless the table is down."""
+        await asyncio.sleep(DELAY_S)
+        return (
+            Unavailable("down") if self.mode == "down" else await super().read(prefix)
+        )
+
+    async def write(self, key: str, expect: int, value: bytes | None) -> Any:
+        """Write, unless the table is down; the answer may be lost."""
+        await asyncio.sleep(DELAY_S)
+        if self.mode == "down":
+            return Unsettled("down")
+        outcome = self.apply(key, expect, value)
+        return Unsettled("lost") if self.mode == "lose_answers" else outcome
+
+
+class FakeTarget(Actor):
+    """Runs tasks by waiting, and counts their starts."""
+
+    def __init__(self, place: Place, starts: list, answers: Mailbox) -> None:
+        super().__init__()
+        self.place = place
+        self.starts = starts
+        self.answers = answers
+
+    @handles(local.RunTask)
+    def begin(self, task: local.RunTask, sender: Incarnation) -> None:
+        """Count a start and answer later."""
+        self.starts.append((task.name, self.place.zone, self.now()))
+        run_s = task.spec.size_ms / 1000
+        answer = local.TargetAnswered(
+            task.name, True, task.spec.input, run_s * 1000, False
+        )
+        asyncio.get_running_loop().call_later(run_s, self.answers.post, answer)
+
+    @handles(local.SetConnections)
+    def connect(self, change: local.SetConnections, sender: Incarnation) -> None:
+        """Need nothing for connections."""
+
+    @handles(local.StopTask)
+    def stop(self, stop: local.StopTask, sender: Incarnation) -> None:
+        """Let the task run out."""
+
+
+class Node:
+    """One process: its tasks, and the messages it has not read while frozen."""
+
+    def __init__(self, info: GuardInfo) -> None:
+        self.info = info
+        self.routes: dict[type, list[Mailbox]] = {}
+        self.actors: list[Actor] = []
+        self.running: list[asyncio.Task] = []
+        self.held: list[tuple[Incarnation, Any]] | None = None
+
+    def add(self, actor: Actor, kinds: tuple[type, ...]) -> Actor:
+        """Add a task and the messages it gets."""
+        self.actors.append(actor)
+        for kind in kinds:
+            self.routes.setdefault(kind, []).append(actor.mailbox)
+        return actor
+
+    def start(self) -> None:
+        """Run the tasks."""
+        for actor in self.actors:
+            self.running.append(asyncio.ensure_future(actor.run()))
+            self.running.append(asyncio.ensure_future(tick(actor.mailbox, TICK_S)))
+
+    def stop(self) -> None:
+        """End the tasks at once, as a kill does."""
+        for task in self.running:
+            task.cancel()
+
+
+class Cluster:
+    """A few guards and one entry over the fakes."""
+
+    def __init__(self, settings: Settings, places: list[Place], seed: int) -> None:
+        self.settings = settings
+        self.rng = random.Random(seed)
+        self.table = FaultyTable()
+        self.cuts: set[frozenset[str]] = set()
+        self.loss = 0.0
+        self.starts: list = []
+        self.nodes: dict[str, Node] = {}
+        self.places = {f"g{n}": place for n, place in enumerate(places)}
+        self.lives: Counter[str] = Counter()
+
+    # --- the bus
+
+    def sender(self, name: str, me: Incarnation) -> Any:
+        """Return how a node sends."""
+
+        def send(to: Incarnation, body: Any) -> None:
+            lost = frozenset((name, to.address)) in self.cuts
+            lost |= name != to.address and self.rng.random() < self.loss
+            if not lost:
+                delay_s = DELAY_S * self.rng.uniform(0.5, 1.5)
+                loop = asyncio.get_running_loop()
+                loop.call_later(delay_s, self.deliver, me, to, body)
+
+        return send
+
+    def deliver(self, sender: Incarnation, to: Incarnation, body: Any) -> None:
+        """Give a message to a node of that life, or hold it while it is frozen."""
+        node = self.nodes.get(to.address)
+        if node is None or node.info.incarnation != to:
+            return
+        if node.held is not None:
+            node.held.append((sender, body))
+            return
+        for mailbox in node.routes.get(type(body), ()):
+            mailbox.post(Delivery(sender, body))
+
+    # --- nodes
+
+    def new_node(self, name: str) -> tuple[Node, Any]:
+        """Return a new life of a process, and how it sends."""
+        self.lives[name] += 1
+        me = Incarnation(name, str(self.lives[name]))
+        place = self.places.get(name, Place("recife", "r", "e"))
+        node = self.nodes[name] = Node(GuardInfo(me, place, "", False))
+        return node, self.sender(name, me)
+
+    def start_guard(self, name: str) -> None:
+        """Start a guard with its target."""
+        node, send = self.new_node(name)
+        info, settings = node.info, self.settings._replace(place=node.info.place)
+        drained = Mailbox("drained")
+        beats = Heartbeats(info, settings, send)
+        runner = JobRunner(info.incarnation, settings, send, self.rng)
+        keeper = SlotKeeper(
+            info, settings, self.table, send, beats.mailbox, runner.mailbox, drained
+        )
+        executor = Executor(info, settings, send, beats.mailbox, drained)
+        target = FakeTarget(info.place, self.starts, executor.mailbox)
+        runner.keeper, executor.client = keeper.mailbox, target.mailbox
+        subscribers = [a.mailbox for a in (beats, runner, keeper, executor)]
+        self.add_control(node, send, rows.guards_prefix("production"), subscribers)
+        node.add(keeper, KEEPER_MESSAGES)
+        node.add(runner, RUNNER_MESSAGES)
+        node.add(executor, EXECUTOR_MESSAGES)
+        node.add(beats, ())
+        node.add(target, ())
+        node.start()
+        node.running.append(asyncio.ensure_future(self.announce(node, executor)))
+
+    def start_entry(self) -> Router:
+        """Start the entry instance and return its router."""
+        node, send = self.new_node("entry")
+        router = Router(node.info.incarnation, self.settings, send, Mailbox("drained"))
+        prefix = rows.entries_prefix("production")
+        self.add_control(node, send, prefix, [router.mailbox])
+        node.add(router, ROUTER_MESSAGES)
+        node.start()
+        return router
+
+    def add_control(
+        self, node: Node, send: Any, prefix: str, subscribers: list[Mailbox]
+    ) -> None:
+        """Add the control task of a node."""
+        control = Control(
+            node.info, prefix, self.settings, self.table, send, subscribers, self.rng
+        )
+        node.add(control, CONTROL_MESSAGES)
+
+    async def announce(self, node: Node, executor: Executor) -> None:
+        """Announce a guard's target, again and again."""
+        body = {
+            "service": "visits",
+            "address": f"target-{node.info.incarnation.address}",
+            "kinds": ["confirm"],
+            "slots": 4,
+            "connections": 8,
+            **node.info.place._asdict(),
+        }
+        while True:
+            reply = asyncio.get_running_loop().create_future()
+            executor.mailbox.post(local.Announced(body, reply))
+            await asyncio.sleep(0.5)
+
+    # --- faults
+
+    def kill(self, name: str) -> None:
+        """End a guard at once."""
+        self.nodes.pop(name).stop()
+
+    def freeze(self, name: str) -> None:
+        """Hold a guard's messages; its tasks and timers stand still."""
+        node = self.nodes[name]
+        node.held = []
+        for actor in node.actors:
+            actor.mailbox.post = lambda message: True
+
+    def resume(self, name: str) -> None:
+        """Give a frozen guard all that came meanwhile, before any of its timers."""
+        node = self.nodes[name]
+        held, node.held = node.held, None
+        for actor in node.actors:
+            del actor.mailbox.post
+        for sender, body in held:
+            self.deliver(sender, node.info.incarnation, body)
+
+    # --- what must always hold
+
+    def double_starts(self) -> list:
+        """Return the tasks that started more than once."""
+        counts = Counter(name for name, _, _ in self.starts)
+        return [name for name, count in counts.items() if count > 1]
+
+    def started(self, key: str) -> bool:
+        """Return whether any task of a job started."""
+        return any(name[1] == key for name, _, _ in self.starts)
+
+
+def ask(router: Router, job: JobSpec) -> asyncio.Future:
+    """Have a caller submit a job."""
+    reply = asyncio.get_running_loop().create_future()
+    router.mailbox.post(local.Ask(job, reply))
+    return reply
--- /dev/null
+++ b/hawthorntrack/coordination/tests/test_decisions.py
@@ -0,0 +1,353 @@
+"""Decisions over values: admission, placement, retries, fairness, membership."""
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hawthorntrack.coordination import health
+from hawthorntrack.coordination import ownership as own
+from hawthorntrack.coordination.admission import (
+    LoadView,
+    admit,
+    customer_allowance,
+    settle_deadline,
+)
+from hawthorntrack.coordination.balance import Surroundings, plan_move
+from hawthorntrack.coordination.control import paced_interval_s
+from hawthorntrack.coordination.fairness import FairOrder
+from hawthorntrack.coordination.keeper import maybe_admitted
+from hawthorntrack.coordination.membership import choose_witness, eligible, in_view
+from hawthorntrack.coordination.placement import Scene, WaitingTask, policies
+from hawthorntrack.coordination.retries import after_not_run, new_budget
+from hawthorntrack.coordination.starting import StartScene, start_checks, why_not
+from hawthorntrack.state import uuid7
+from hawthorntrack.state.hashing import rendezvous, slot_of
+from hawthorntrack.state.slots import CLAIMING, OPENED, WITNESS, SlotState
+from hawthorntrack.state.targets import GuardView
+from hawthorntrack.state.values import (
+    NOBODY,
+    Incarnation,
+    Place,
+    SlotRow,
+    TargetLoad,
+)
+
+READY = StartScene(
+    fresh=True,
+    zone_out=False,
+    draining=False,
+    has_target=True,
+    leaving=False,
+    kinds=frozenset({"confirm"}),
+    ejected=False,
+    late=False,
+)
+BUSY = LoadView(frozenset({"confirm"}), 0, 0, 0.1, 0.0, 88)
+
+
+@pytest.mark.parametrize(
+    ("change", "kind"),
+    [
+        ({"kinds": frozenset()}, "no_target"),
+        ({"queued_tasks": 3_999}, "queue_full"),
+        ({"customer_tasks": 399}, "customer_limit"),
+        ({"work_ahead_ms": 88 * 4_000.0}, "deadline_unreachable"),
+    ],
+)
+def test_admission_refuses_early_with_the_reason(document, make_job, change, kind):
+    answer = admit(BUSY._replace(**change), document, make_job())
+    assert (answer.kind, answer.ran) == (kind, "no")
+
+
+def test_admission_takes_what_fits(document, make_job):
+    assert admit(BUSY, document, make_job()) is None
+
+
+def test_job_above_the_whole_quota_is_refused(document, make_job):
+    job = make_job(tasks=160, customer="stranger")
+    small = document._replace(
+        customers={"default": document.customer("stranger")._replace(max_tasks=100)}
+    )
+    assert admit(BUSY, small, job).kind == "customer_limit"
+
+
+@given(st.integers(1, 10_000), st.floats(0, 1))
+def test_one_owner_never_allows_more_than_the_quota(quota, share):
+    assert 1 <= customer_allowance(quota, share) <= quota
+
+
+def test_deadline_is_bounded_by_the_document(document, make_job):
+    asked = make_job(deadline_ms=10**9)
+    assert settle_deadline(asked, document).deadline_ms == document.max_ms
+    assert settle_deadline(make_job(deadline_ms=0), document).deadline_ms == 5_000
+
+
+loads = st.lists(
+    st.tuples(st.integers(0, 8), st.integers(0, 8), st.integers(0, 3)),
+    min_size=4,
+    max_size=4,
+)
+
+
+@pytest.mark.parametrize("name", policies.names())
+@given(drawn=loads, count=st.integers(0, 40))
+def test_policy_places_each_task_on_a_guard_that_runs_it(name, drawn, count):
+    views = tuple(
+        GuardView(
+            Incarnation(f"h:{n}", "a"),
+            Place("recife", "r", str(n)),
+            TargetLoad("visits", ("confirm",), slots, busy, queued, 1.0),
+            0,
+            0.0,
+        )
+        for n, (slots, busy, queued) in enumerate(drawn)
+    )
+    scene = Scene(views, lambda g, k: 1.0, 100.0, "recife", 3, random.Random(1))
+    tasks = [WaitingTask(1, n, "confirm", 100, frozenset()) for n in range(count)]
+    choices = policies[name].choose(scene, tasks)
+    able = {view.incarnation for view in views if view.load.slots}
+    assert {choice.guard for choice in choices} <= able
+    if not policies[name].late_binding:
+        indices = [choice.task.index for choice in choices]
+        assert len(indices) == len(set(indices))
+    if name == "expected_finish":
+        room = sum(max(0, v.load.slots + 3 - v.waiting) for v in views if v.load.slots)
+        assert len(choices) == min(count, room)
+
+
+@pytest.fixture
+def scene_of(guards, places, load, rng):
+    """Return a function that makes a scene of loads."""
+
+    def make(loads, slowness=lambda guard, kind: 1.0):
+        views = tuple(
+            GuardView(guard, place, item, 0, 0.0)
+            for guard, place, item in zip(guards, places, loads, strict=False)
+        )
+        return Scene(views, slowness, 100.0, "recife", 3, rng)
+
+    return make
+
+
+def test_expected_finish_prefers_the_target_measured_faster(scene_of, load, guards):
+    scene = scene_of([load, load], lambda guard, kind: 1 + (guard == guards[0]))
+    task = WaitingTask(1, 0, "confirm", 100, frozenset())
+    assert policies["expected_finish"].choose(scene, [task])[0].guard == guards[1]
+
+
+def test_guard_that_sent_a_task_back_is_avoided(scene_of, load, guards):
+    scene = scene_of([load, load])
+    task = WaitingTask(1, 0, "confirm", 100, frozenset({guards[0]}))
+    for name in policies:
+        chosen = {c.guard for c in policies[name].choose(scene, [task])}
+        assert chosen == {guards[1]}
+
+
+def test_retries_end_after_the_attempts_and_slow_down_without_budget(document):
+    budget = new_budget()
+    assert after_not_run(1, document, budget, 0.0).again
+    assert not after_not_run(document.max_attempts, document, budget, 0.0).again
+    verdicts = [after_not_run(1, document, budget, 0.0) for _ in range(300)]
+    assert verdicts[-1].again
+    assert verdicts[-1].wait_s > verdicts[0].wait_s
+
+
+@given(st.dictionaries(st.sampled_from("abc"), st.integers(1, 30), min_size=2))
+def test_customers_take_turns_by_weight(counts):
+    queues = {name: list(range(count)) for name, count in counts.items()}
+    order = list(FairOrder().interleave(queues, dict.fromkeys(queues, 1.0)))
+    assert len(order) == sum(counts.values())
+    least = min(counts.values())
+    first = order[: least * len(counts)]
+    assert sorted(first) == sorted(list(range(least)) * len(counts))
+
+
+def test_heavier_customer_gets_more_places():
+    queues = {"a": ["a"] * 40, "b": ["b"] * 40}
+    first = list(FairOrder().interleave(queues, {"a": 3.0, "b": 1.0}))[:40]
+    assert first.count("a") == 30
+
+
+@pytest.mark.parametrize(
+    ("change", "reason"),
+    [
+        ({"zone_out": True}, "zone_out"),
+        ({"fresh": False}, "stale_view"),
+        ({"draining": True}, "draining"),
+        ({"has_target": False}, "no_target"),
+        ({"leaving": True}, "target_leaving"),
+        ({"kinds": frozenset()}, "wrong_kind"),
+        ({"ejected": True}, "target_ejected"),
+        ({"late": True}, "too_late"),
+    ],
+)
+def test_guard_sends_back_with_the_reason(change, reason):
+    assert why_not(READY._replace(**change), "confirm") == reason
+    assert reason in start_checks
+    assert why_not(READY, "confirm") is None
+
+
+def test_black_hole_is_ejected_probed_and_taken_back():
+    state = health.Health()
+    for key in ("a", "a", "b", "c"):
+        state = health.after_result(state, key, True, 0.0)
+    assert health.capacity(state, 8, 0.5) == 0
+    assert health.capacity(state, 8, 1.5) == 1
+    probe = health.begin(state)
+    assert health.after_result(probe, "d", True, 1.5).ejected_until == 3.5
+    assert health.capacity(health.after_result(probe, "d", False, 1.5), 8, 1.6) == 8
+
+
+def test_one_job_that_cannot_run_ejects_no_target():
+    state = health.Health()
+    for _ in range(160):
+        state = health.after_result(state, "poison", True, 0.0)
+    assert health.capacity(state, 8, 0.0) == 8
+
+
+def test_witness_stands_in_another_zone(infos):
+    candidates = {info.incarnation.address: info for info in infos}
+    for slot in range(20):
+        witness = choose_witness(slot, infos[0], candidates, "other_zone")
+        assert candidates[witness.address].place.zone != "recife"
+        near = choose_witness(slot, infos[0], candidates, "other_rack")
+        assert near == infos[1].incarnation
+
+
+def test_guards_out_of_service_are_not_eligible(infos, guards):
+    left = eligible(infos, frozenset({"recife"}), set(guards[:3]))
+    assert list(left) == [guards[2].address]
+
+
+def test_view_is_a_sample_with_half_from_the_own_zone(infos, places):
+    many = [
+        info._replace(
+            incarnation=info.incarnation._replace(address=f"h:{n}-{info.place.zone}")
+        )
+        for n in range(50)
+        for info in infos
+    ]
+    sample = in_view(places[2], many, 20, "h:1")
+    assert len({guard.incarnation for guard in sample}) == 20
+    assert sum(guard.place.zone == "olinda" for guard in sample) >= 10
+
+
+@given(st.sets(st.text(min_size=1, max_size=4), min_size=2, max_size=8))
+def test_leaving_guard_moves_only_its_own_slots(names):
+    gone = min(names)
+    for slot in range(8):
+        before = rendezvous(str(slot), names)
+        assert rendezvous(str(slot), names - {gone}) == [n for n in before if n != gone]
+
+
+def test_polls_of_all_processes_stay_within_the_tables_budget():
+    assert 13_000 / paced_interval_s(0.5, 13_000, 400) <= 400
+
+
+def test_keys_spread_evenly_over_slots():
+    counts = [0] * 16
+    for number in range(16_000):
+        counts[slot_of("visits", f"key-{number}", 16)] += 1
+    assert 850 < min(counts) and max(counts) < 1_150
+
+
+def test_key_made_after_a_reset_is_new_and_any_other_may_have_run():
+    lost_ms = 1_700_000_000_000
+    assert not maybe_admitted(uuid7.make(lost_ms + 61_000), lost_ms, 60)
+    assert maybe_admitted(uuid7.make(lost_ms + 59_000), lost_ms, 60)
+    assert maybe_admitted("reservation-7", lost_ms, 60)
+
+
+# --- slots
+
+
+@pytest.fixture
+def opened(guards):
+    row = SlotRow(1, guards[0], guards[1], True, guards[0], guards[1], 0, 2)
+    return SlotState(OPENED, 1, guards[1], row)
+
+
+@pytest.fixture
+def around(infos, guards):
+    return Surroundings(
+        me=infos[0],
+        registered={info.incarnation.address: info for info in infos},
+        candidates={info.incarnation.address: info for info in infos},
+        alive=set(guards),
+        rule="other_zone",
+        settled=True,
+        leaving=False,
+    )
+
+
+def test_stranger_may_not_claim_a_formed_slot(opened, guards):
+    stranger = SlotState(row=opened.row)
+    step = own.decide(guards[2], stranger, own.Claim(guards[3]))
+    assert step.state == stranger
+    assert step.commands == (own.ReadRow(),)
+
+
+def test_claimer_refuses_what_is_pending_before_it_writes(opened, guards):
+    step = own.decide(guards[0], opened, own.Claim(guards[2]))
+    assert step.state.phase == CLAIMING
+    assert [type(c).__name__ for c in step.commands] == ["RefusePending", "WriteRow"]
+
+
+def test_unsettled_claim_is_written_again_until_the_row_tells(opened, guards):
+    state = own.decide(guards[0], opened, own.Claim(guards[2])).state
+    again = own.decide(guards[0], state, own.WriteUnknown())
+    assert again.commands == (own.WriteRow(2, state.wrote),)
+    mine = state.wrote._replace(version=9)
+    assert own.decide(guards[0], state, own.WriteLost(mine)).state.epoch == 2
+    other = mine._replace(owner=guards[1])
+    assert own.decide(guards[0], state, own.WriteLost(other)).state.phase == "idle"
+
+
+def test_witness_takes_notes_of_its_owner_and_epoch_only(guards):
+    state = SlotState(WITNESS, 2, guards[0])
+    for sender, epoch, taken in [
+        (guards[0], 2, True),
+        (guards[0], 1, False),
+        (guards[2], 2, False),
+    ]:
+        step = own.decide(guards[1], state, own.NoteArrived(sender, epoch))
+        assert isinstance(step.commands[0], own.TakeNote) == taken
+
+
+def test_owner_claims_when_its_witness_falls_silent(opened, around, guards):
+    quiet = around._replace(alive=around.alive - {guards[1]})
+    move = plan_move(3, opened, quiet)
+    assert move.reason == "peer_silent"
+    assert move.witness not in (guards[0], guards[1], None)
+
+
+def test_leaving_owner_asks_its_witness_to_claim(opened, around):
+    left = {a: g for a, g in around.candidates.items() if g != around.me}
+    move = plan_move(3, opened, around._replace(leaving=True, candidates=left))
+    assert (move.reason, move.witness) == ("leaving", None)
+
+
+@pytest.mark.parametrize("lost", [1, 2])
+def test_slot_is_reset_only_when_the_table_shows_both_members_gone(
+    opened, around, infos, guards, lost
+):
+    row = opened.row._replace(
+        owner=guards[1], witness=guards[2], last_owner=guards[1], last_witness=guards[2]
+    )
+    gone = {guard.address for guard in guards[1 : 1 + lost]}
+    left = {a: g for a, g in around.registered.items() if a not in gone}
+    around = around._replace(
+        registered=left,
+        candidates={guards[0].address: infos[0], guards[3].address: infos[3]},
+        alive={guards[0], guards[3]},
+    )
+    moves = [plan_move(slot, SlotState(row=row), around) for slot in range(20)]
+    resets = [move for move in moves if move and move.reset]
+    assert bool(resets) == (lost == 2)
+
+
+def test_before_the_first_epoch_anyone_may_claim(guards):
+    row = SlotRow(1, guards[0], guards[1], False, NOBODY, NOBODY, 0, 1)
+    assert own.may_claim(guards[3], row)
--- /dev/null
+++ b/hawthorntrack/coordination/tests/test_failures.py
@@ -0,0 +1,220 @@
+"""Several guards together, under cuts, freezes, kills and outages of the table."""
+
+import asyncio
+
+import pytest
+
+from hawthorntrack.coordination.tests.fakes import Cluster, ask
+from hawthorntrack.experiment.layout import deployments, document_body
+from hawthorntrack.protocol import rows
+from hawthorntrack.state.table import ABSENT
+
+ZONE_OUT_BOUND_S = 3.0
+
+
+@pytest.fixture
+def cluster(settings, places):
+    """Return a function that starts four guards and an entry, all slots open."""
+
+    async def start(seed=1):
+        made = Cluster(settings, places, seed)
+        body = document_body(deployments["jardim"])
+        key = rows.document_key("production", "visits")
+        await made.table.write(key, ABSENT, rows.write_document(1, body))
+        for name in made.places:
+            made.start_guard(name)
+        router = made.start_entry()
+        await asyncio.sleep(4)
+        assert sum(row.formed for row in router.rows.values()) == settings.slots
+        return made, router
+
+    return start
+
+
+async def stop(cluster):
+    """End all nodes."""
+    for name in list(cluster.nodes):
+        cluster.kill(name)
+    await asyncio.sleep(0)
+
+
+def check(cluster, replies):
+    """Assert what must always hold of jobs and their answers, by key."""
+    assert cluster.double_starts() == []
+    for key, answers in replies.items():
+        assert all(reply.done() for reply in answers)
+        results = [reply.result() for reply in answers]
+        if all(answer.ran == "no" for answer in results):
+            assert not cluster.started(key)
+        for answer in results:
+            assert (answer.status == "complete") == bool(answer.results)
+
+
+async def load(cluster, router, make_job, jobs=40, gap_s=0.1, again_s=(0.0, 3.0)):
+    """Submit jobs in a row, each again after a while; return the answers by key."""
+    replies = {}
+    loop = asyncio.get_running_loop()
+    for number in range(jobs):
+        job = make_job(f"k{number}", tasks=1 + number % 3, deadline_ms=6_000)
+        replies[job.key] = [ask(router, job)]
+        for wait_s in again_s:
+            loop.call_later(wait_s, lambda j=job: replies[j.key].append(ask(router, j)))
+        await asyncio.sleep(gap_s)
+    return replies
+
+
+async def settle(replies):
+    """Wait for all answers."""
+    await asyncio.sleep(11)
+    return replies
+
+
+@pytest.mark.parametrize("fault", ["kill", "freeze", "cut", "isolate"])
+@pytest.mark.parametrize("table", ["up", "down", "lose_answers"])
+def test_no_task_starts_twice_when_an_owner(run, cluster, make_job, fault, table):
+    async def scene():
+        made, router = await cluster()
+        loading = asyncio.ensure_future(load(made, router, make_job))
+        await asyncio.sleep(1)
+        made.table.mode = table
+        if fault == "kill":
+            made.kill("g1")
+        elif fault == "freeze":
+            made.freeze("g1")
+        elif fault == "cut":
+            made.cuts = {frozenset(("g1", "g2")), frozenset(("g1", "g3"))}
+        else:
+            others = ("g0", "g2", "g3", "entry")
+            made.cuts = {frozenset(("g1", other)) for other in others}
+        await asyncio.sleep(6)
+        made.table.mode = "up"
+        made.cuts = set()
+        if fault == "freeze":
+            made.resume("g1")
+        check(made, await settle(await loading))
+        complete = sum(name[2] == 0 for name, _, _ in made.starts)
+        assert complete >= 15
+        await stop(made)
+
+    run(scene())
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_no_task_starts_twice_whatever_happens(run, cluster, make_job, seed):
+    async def scene():
+        made, router = await cluster(seed)
+        made.loss = 0.02
+        loading = asyncio.ensure_future(load(made, router, make_job, jobs=80))
+        names = list(made.places)
+        for _ in range(6):
+            await asyncio.sleep(made.rng.uniform(0.5, 2.5))
+            name = made.rng.choice(names)
+            match made.rng.choice(["kill", "freeze", "cut", "down", "lose_answers"]):
+                case "kill" if name in made.nodes:
+                    made.kill(name)
+                    await asyncio.sleep(made.rng.uniform(0.1, 3))
+                    made.start_guard(name)
+                case "freeze" if name in made.nodes:
+                    made.freeze(name)
+                    await asyncio.sleep(made.rng.uniform(0.5, 6))
+                    made.resume(name)
+                case "cut":
+                    other = made.rng.choice(names)
+                    made.cuts = {frozenset((name, other))}
+                    await asyncio.sleep(made.rng.uniform(0.5, 6))
+                    made.cuts = set()
+                case mode:
+                    made.table.mode = mode if mode in ("down", "lose_answers") else "up"
+                    await asyncio.sleep(made.rng.uniform(0.5, 4))
+                    made.table.mode = "up"
+        made.loss = 0.0
+        check(made, await settle(await loading))
+        await stop(made)
+
+    run(scene())
+
+
+def test_zone_that_is_out_starts_nothing_even_where_a_guard_was_frozen(
+    run, cluster, make_job
+):
+    async def scene():
+        made, router = await cluster()
+        loading = asyncio.ensure_future(load(made, router, make_job, jobs=80))
+        await asyncio.sleep(1)
+        made.freeze("g0")
+        key = rows.zones_key("production")
+        await made.table.write(key, ABSENT, rows.write_zones(["recife"]))
+        out_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(5)
+        made.resume("g0")
+        check(made, await settle(await loading))
+        late = [
+            start
+            for start in made.starts
+            if start[1] == "recife" and start[2] > out_at + ZONE_OUT_BOUND_S
+        ]
+        assert late == []
+        await stop(made)
+
+    run(scene())
+
+
+def test_minute_without_the_table_stops_nothing(run, cluster, make_job):
+    async def scene():
+        made, router = await cluster()
+        made.table.mode = "down"
+        replies = await load(made, router, make_job, jobs=60, gap_s=1.0, again_s=())
+        await settle(replies)
+        check(made, replies)
+        answers = [reply.result().status for (reply,) in replies.values()]
+        assert answers == ["complete"] * 60
+        await stop(made)
+
+    run(scene())
+
+
+def test_document_is_in_force_everywhere_within_seconds_by_peers_alone(run, cluster):
+    async def scene():
+        made, router = await cluster()
+        for node in made.nodes.values():
+            if node.info.incarnation.address != "g0":
+                control = next(a for a in node.actors if type(a).__name__ == "Control")
+                control.poll = lambda subject: None
+        key = rows.zones_key("production")
+        await made.table.write(key, ABSENT, rows.write_zones(["olinda"]))
+        await asyncio.sleep(1)
+        controls = [
+            a
+            for node in made.nodes.values()
+            for a in node.actors
+            if type(a).__name__ == "Control"
+        ]
+        told = [control.view.zones_out for control in controls]
+        assert told.count(frozenset({"olinda"})) >= 1
+        await stop(made)
+
+    run(scene())
+
+
+def test_both_guards_of_a_slot_lost_and_started_anew(run, cluster, make_job):
+    async def scene():
+        made, router = await cluster()
+        replies = await load(made, router, make_job, jobs=10, again_s=())
+        row = router.rows[0]
+        for member in (row.owner, row.witness):
+            made.kill(member.address)
+        await asyncio.sleep(4)
+        for member in (row.owner, row.witness):
+            made.start_guard(member.address)
+        await asyncio.sleep(8)
+        assert router.rows[0].formed
+        assert router.rows[0].reset_ms > 0
+        again = {
+            key: [ask(router, make_job(key, tasks=1 + n % 3, deadline_ms=6_000))]
+            for n, key in enumerate(replies)
+        }
+        await settle(again)
+        assert made.double_starts() == []
+        await stop(made)
+
+    run(scene())
--- a/hawthorntrack/protocol/logfmt.py
+++ b/hawthorntrack/protocol/logfmt.py
@@ -30,7 +30,9 @@
     name = event.get("message_type") or event.get("action_type", "event")
     pairs = [("ts", f"{event.get('timestamp', 0):.3f}"), ("event", name)]
     pairs += [(key, event[key]) for key in event if key not in OMITTED]
-    return " ".join(f"{key}={render_value(value)}" for key, value in pairs)
+    return " ".join(
+        f"{render_value(key)}={render_value(value)}" for key, value in pairs
+    )
 
 
 class LineWriter:
--- /dev/null
+++ b/hawthorntrack/protocol/tests/test_edges.py
@@ -0,0 +1,117 @@
+"""Bad input at each encoding edge gives a typed refusal, never anything else."""
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hawthorntrack.protocol import messages
+from hawthorntrack.protocol.bodies import (
+    BadBody,
+    Caller,
+    read_announcement,
+    read_job,
+)
+from hawthorntrack.protocol.codec import BadMessage, codecs
+from hawthorntrack.protocol.logfmt import render
+from hawthorntrack.protocol.rows import read_slot, write_slot
+from hawthorntrack.state.table import Row
+from hawthorntrack.state.values import (
+    NOBODY,
+    Answer,
+    Incarnation,
+    SlotRow,
+    TaskResult,
+    TaskSpec,
+)
+
+CALLER = Caller("visits", "k", "jardim")
+ME = Incarnation("127.0.0.1:1", "a")
+
+
+@pytest.mark.parametrize("name", codecs.names())
+@given(data=st.binary(max_size=200))
+def test_any_bytes_decode_or_are_a_bad_message(name, data):
+    try:
+        codecs[name].decode(data)
+    except BadMessage as error:
+        assert error.reason in ("malformed", "unknown_type")
+
+
+@pytest.mark.parametrize("name", codecs.names())
+def test_messages_come_back_as_they_went(name, make_job, load):
+    row = SlotRow(1, ME, ME, True, ME, NOBODY)
+    result = TaskResult(0, True, b'{"a":1}', 1.5)
+    bodies = [
+        messages.Submit("1", 2, make_job()),
+        messages.Answered("1", Answer("complete", "", "yes", "", (result,)), row),
+        messages.Start(
+            "1",
+            "visits",
+            "k",
+            9,
+            (messages.StartTask(0, 1, TaskSpec("a", b"1", 2)),),
+        ),
+        messages.NotRun("1", ((0, 1),), "draining", load),
+    ]
+    for body in bodies:
+        envelope = messages.Envelope(ME, 3, body)
+        assert codecs[name].decode(codecs[name].encode(envelope)) == envelope
+
+
+@pytest.mark.parametrize("name", codecs.names())
+def test_message_of_another_shape_is_refused(name):
+    good = codecs[name].encode(messages.Envelope(ME, 3, messages.Pending("1")))
+    other = good.replace(b"pending", b"unknown")
+    with pytest.raises(BadMessage) as caught:
+        codecs[name].decode(other)
+    assert caught.value.reason in ("unknown_type", "malformed")
+
+
+@given(st.binary(max_size=300))
+def test_any_body_is_a_job_or_a_typed_refusal(body):
+    try:
+        assert read_job(CALLER, body, 160).tasks
+    except BadBody as error:
+        assert error.reason in ("body", "tasks")
+
+
+@pytest.mark.parametrize(
+    ("body", "reason"),
+    [
+        (b'{"tasks": []}', "body"),
+        (b'{"tasks": [{"kind": ""}]}', "body"),
+        (b'{"tasks": [{"kind": "a", "size_ms": -1}]}', "body"),
+        (b'{"tasks": [{"kind": "a"}], "deadline_ms": 0}', "body"),
+        (msgspec.json.encode({"tasks": [{"kind": "a"}] * 161}), "tasks"),
+        (b"[" * 5_000, "body"),
+    ],
+)
+def test_wrong_job_is_refused_with_its_reason(body, reason):
+    with pytest.raises(BadBody) as caught:
+        read_job(CALLER, body, 160)
+    assert caught.value.reason == reason
+
+
+@pytest.mark.parametrize("key", ["", "x" * 129, "a\nb"])
+def test_wrong_key_is_refused(key):
+    with pytest.raises(BadBody):
+        read_job(CALLER._replace(key=key), b'{"tasks": [{"kind": "a"}]}', 160)
+
+
+@given(st.binary(max_size=200))
+def test_any_announcement_is_one_or_a_typed_refusal(body):
+    with pytest.raises(BadBody):
+        read_announcement(body)
+
+
+def test_slot_row_comes_back_with_the_tables_version():
+    row = SlotRow(3, ME, ME, False, NOBODY, NOBODY, 7, 99)
+    assert read_slot(Row("slots/production/1", 5, write_slot(row))) == row._replace(
+        version=5
+    )
+
+
+@given(st.dictionaries(st.text(min_size=1, max_size=5), st.text(), max_size=4))
+def test_log_line_is_one_line(pairs):
+    assert len(render({"message_type": "x", **pairs}).splitlines()) == 1
--- a/hawthorntrack/specs/main.py
+++ b/hawthorntrack/specs/main.py
@@ -29,13 +29,12 @@
 def slot_search(
     limits: slot_protocol.Limits,
     decide: slot_protocol.Decide = ownership.decide,
-    from_empty: bool = False,
+    after: tuple[str, ...] = slot_protocol.OPENING,
 ) -> Report:
-    """Search the slot protocol exhaustively."""
-    begin = slot_protocol.first_world if from_empty else slot_protocol.opened_world
+    """Search the slot protocol exhaustively, from the world after some steps."""
     mutated = decide is not ownership.decide
     return breadth_first(
-        begin(limits),
+        slot_protocol.world_after(limits, after),
         slot_protocol.Protocol(limits, decide).successors,
         slot_protocol.unsafe if mutated else slot_protocol.breach,
         MAX_STATES,
@@ -45,7 +44,7 @@
 def slot_walks(limits: slot_protocol.Limits, walks: int, seed: int) -> Report:
     """Walk the slot protocol by chance, past what can be searched whole."""
     return random_walks(
-        slot_protocol.opened_world(limits),
+        slot_protocol.world_after(limits, slot_protocol.OPENING),
         slot_protocol.Protocol(limits).successors,
         slot_protocol.breach,
         walks,
@@ -73,7 +72,7 @@
 
 file(
     "forming, 3 guards, 1 crash, 1 late write",
-    lambda: slot_search(slot_protocol.Limits(epochs=1), from_empty=True),
+    lambda: slot_search(slot_protocol.Limits(epochs=1), after=()),
 )
 file(
     "takeover, 3 guards, 2 epochs, 1 crash, 1 late write",
@@ -109,7 +108,9 @@
 for mutation in mutations:
     file(
         f"mutation {mutation}",
-        lambda decide=mutations[mutation]: slot_search(MUTATION_LIMITS, decide),
+        lambda decide=mutations[mutation]: slot_search(
+            MUTATION_LIMITS, decide, slot_protocol.NOTING
+        ),
         must_break=True,
     )
 
--- a/hawthorntrack/specs/slot_protocol.py
+++ b/hawthorntrack/specs/slot_protocol.py
@@ -348,16 +348,20 @@
     return world
 
 
-def opened_world(limits: Limits) -> World:
-    """Return the world in which the first two guards opened the slot together."""
+OPENING = (
+    "g0 claims with g1",
+    "g0 learns of its write",
+    "g1 gets handover of epoch 1",
+    "g0 gets handover_taken of epoch 1",
+    "g0 learns of its write",
+)
+NOTING = (*OPENING, "g0 notes key 0")
+
+
+def world_after(limits: Limits, steps: tuple[str, ...]) -> World:
+    """Return the world after named steps from the first one."""
     protocol, world = Protocol(limits), first_world(limits)
-    for wanted in (
-        "g0 claims with g1",
-        "g0 learns of its write",
-        "g1 gets handover of epoch 1",
-        "g0 gets handover_taken of epoch 1",
-        "g0 learns of its write",
-    ):
+    for wanted in steps:
         world = dict(protocol.successors(world))[wanted]()
     return world
 
--- /dev/null
+++ b/hawthorntrack/state/tests/test_settings.py
@@ -0,0 +1,100 @@
+"""Settings and documents are checked whole, with path and remedy."""
+
+import socket
+
+import pytest
+import yaml
+
+from hawthorntrack.coordination.membership import witness_rules
+from hawthorntrack.coordination.placement import policies
+from hawthorntrack.experiment.layout import (
+    Ports,
+    deployments,
+    document_body,
+    settings_body,
+)
+from hawthorntrack.state.checking import InvalidInput
+from hawthorntrack.state.documents import check_document
+from hawthorntrack.state.settings import load_settings, settings_of
+
+
+@pytest.fixture
+def body():
+    return settings_body(deployments["jardim"], Ports(31_000), 0, "-", {})
+
+
+@pytest.fixture
+def document_data():
+    return document_body(deployments["jardim"])
+
+
+def without(data, key):
+    return {name: item for name, item in data.items() if name != key}
+
+
+@pytest.mark.parametrize(
+    ("change", "path", "words"),
+    [
+        ({"colour": "red"}, "colour", "Known keys"),
+        ({"timing": {"poll_interval_s": 1}}, "timing.poll_interval_s", "_ms"),
+        ({"timing": {"pol_interval_ms": 1}}, "timing.pol_interval_ms", "mean poll"),
+        ({"timing": {"poll_interval_ms": "1s"}}, "timing.poll_interval_ms", "int"),
+        ({"environment": "staging"}, "environment", "trial, production"),
+        ({"listen": {"bus": "localhost:1", "http": "::1"}}, "listen.bus", "IP number"),
+        ({"timing": {"pair_silence_ms": 300}}, "timing.pair_silence_ms", "three times"),
+        ({"slots": 0}, "slots", ">= 1"),
+    ],
+)
+def test_wrong_settings_name_path_and_remedy(body, change, path, words):
+    with pytest.raises(InvalidInput) as caught:
+        settings_of({**body, **change}, "guard.yaml")
+    assert caught.value.path == path
+    assert words in str(caught.value)
+
+
+def test_missing_zone_is_named(body):
+    with pytest.raises(InvalidInput, match="zone"):
+        settings_of(without(body, "zone"), "guard.yaml")
+
+
+def test_port_in_use_is_named(body, tmp_path):
+    path = tmp_path / "guard.yaml"
+    path.write_text(yaml.safe_dump(body))
+    with socket.socket() as taken:
+        host, port = body["listen"]["bus"].split(":")
+        taken.bind((host, int(port)))
+        taken.listen()
+        with pytest.raises(InvalidInput) as caught:
+            load_settings(str(path))
+    assert caught.value.path == "listen.bus"
+
+
+@pytest.mark.parametrize("text", ["a: [", "\x00"])
+def test_file_that_is_no_yaml_is_refused(text, tmp_path):
+    path = tmp_path / "guard.yaml"
+    path.write_text(text)
+    with pytest.raises(InvalidInput, match="no YAML"):
+        load_settings(str(path))
+
+
+@pytest.mark.parametrize(
+    ("change", "path"),
+    [
+        ({"policy": "guess"}, "policy"),
+        ({"witness": "anywhere"}, "witness"),
+        ({"customers": {"a": {"max_tasks": 1}}}, "customers"),
+        ({"retention_s": 60}, "retention_s"),
+        ({"deadlines": {"default_ms": 9, "max_ms": 8}}, "deadlines.default_ms"),
+        ({"limits": {"queued_tasks": 1}}, "limits"),
+        ({"customers": {"default": {"max_task": 1}}}, "customers.default.max_task"),
+    ],
+)
+def test_wrong_document_names_path(document_data, change, path):
+    with pytest.raises(InvalidInput) as caught:
+        check_document(
+            {**document_data, **change},
+            "visits.yaml",
+            policies.names(),
+            witness_rules.names(),
+        )
+    assert caught.value.path == path
--- /dev/null
+++ b/hawthorntrack/transport/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of this layer."""
--- /dev/null
+++ b/hawthorntrack/transport/tests/test_edges.py
@@ -0,0 +1,258 @@
+"""Sockets on loopback: bad input, slow clients, and outcomes that stay uncertain."""
+
+import asyncio
+
+import aiohttp
+import pytest
+import zmq
+import zmq.asyncio
+
+from hawthorntrack.protocol import local, messages
+from hawthorntrack.protocol.codec import codecs
+from hawthorntrack.standins.serving import open_site
+from hawthorntrack.standins.table import TableStandIn
+from hawthorntrack.standins.target import TargetStandIn
+from hawthorntrack.state.mailbox import Mailbox
+from hawthorntrack.state.metrics import BAD_INPUT, BUS_DROPS
+from hawthorntrack.state.table import (
+    ABSENT,
+    Conflict,
+    Found,
+    Unavailable,
+    Unsettled,
+    Written,
+)
+from hawthorntrack.state.values import Answer, Incarnation, TaskSpec
+from hawthorntrack.transport import web as web_module
+from hawthorntrack.transport.bus import BusReceiver, BusSender, Outgoing
+from hawthorntrack.transport.callers import CallersApi
+from hawthorntrack.transport.table_client import HttpTable
+from hawthorntrack.transport.target_client import TargetClient
+from hawthorntrack.transport.web import Readiness, WebServer
+
+TABLE = "127.0.0.1:31801"
+TARGET = "127.0.0.1:31802"
+BUS = "127.0.0.1:31803"
+HTTP = "127.0.0.1:31804"
+
+
+def run_real(scene):
+    """Run a scene on a loop with the real clock, since sockets are real."""
+    return asyncio.run(asyncio.wait_for(scene, 20))
+
+
+@pytest.fixture
+def table_client():
+    return HttpTable(f"http://{TABLE}", 0.3, 100, 100)
+
+
+def test_table_outcomes_say_what_is_known(table_client):
+    async def scene():
+        standin = TableStandIn()
+        site = await open_site(standin.routes(), TABLE)
+        table = table_client
+        assert isinstance(await table.write("a", ABSENT, b"1"), Written)
+        assert isinstance(await table.write("a", ABSENT, b"2"), Conflict)
+        assert isinstance(await table.read("a"), Found)
+        standin.fault = {"mode": "down"}
+        assert isinstance(await table.read("a"), Unavailable)
+        assert isinstance(await table.write("b", ABSENT, b"1"), Unsettled)
+        standin.fault = {"mode": "lose_answers"}
+        assert isinstance(await table.write("b", ABSENT, b"1"), Unsettled)
+        assert "b" in standin.table.rows
+        standin.fault = {"mode": "up", "delay_ms": 600}
+        assert isinstance(await table.read("a"), Unavailable)
+        await table.close()
+        await site.cleanup()
+        assert isinstance(
+            await HttpTable("http://127.0.0.1:1", 0.3, 9, 9).read(""), Unavailable
+        )
+
+    run_real(scene())
+
+
+def test_table_client_keeps_its_budget(table_client):
+    async def scene():
+        site = await open_site(TableStandIn().routes(), TABLE)
+        table = HttpTable(f"http://{TABLE}", 1.0, 20, 20)
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        await asyncio.gather(*(table.read("") for _ in range(30)))
+        assert loop.time() - begun >= 0.45
+        await table.close()
+        await site.cleanup()
+
+    run_real(scene())
+
+
+@pytest.mark.parametrize(
+    ("fault", "body", "ok", "spoiled"),
+    [
+        ({"mode": "ok"}, b'{"echo": "x"}', True, False),
+        ({"mode": "fail"}, b"null", False, True),
+        ({"mode": "ok"}, b'{"poison": true}', False, False),
+        (None, b"null", False, True),
+    ],
+)
+def test_target_outcomes_blame_the_right_one(fault, body, ok, spoiled):
+    async def scene():
+        site = None
+        if fault is not None:
+            standin = TargetStandIn(1.0, 8, 1)
+            standin.fault = fault
+            site = await open_site(standin.routes(), TARGET)
+        answers = Mailbox("answers")
+        client = TargetClient(answers)
+        client.handle(local.SetConnections(2))
+        spec = TaskSpec("confirm", body, 10)
+        client.handle(local.RunTask(("visits", "k", 0), TARGET, "k", 0, spec))
+        answer = await answers.get()
+        assert (answer.ok, answer.spoiled) == (ok, spoiled)
+        await client.session.close()
+        if site:
+            await site.cleanup()
+
+    run_real(scene())
+
+
+def test_stopped_task_ends_at_the_target():
+    async def scene():
+        standin = TargetStandIn(1.0, 8, 1)
+        site = await open_site(standin.routes(), TARGET)
+        answers = Mailbox("answers")
+        client = TargetClient(answers)
+        client.handle(local.SetConnections(2))
+        name = ("visits", "k", 0)
+        spec = TaskSpec("confirm", b"null", 10_000)
+        client.handle(local.RunTask(name, TARGET, "k", 0, spec))
+        while not standin.running:
+            await asyncio.sleep(0.01)
+        client.handle(local.StopTask(name))
+        assert not (await answers.get()).ok
+        while standin.running:
+            await asyncio.sleep(0.01)
+        assert standin.stopped == 1
+        await client.session.close()
+        await site.cleanup()
+
+    run_real(scene())
+
+
+def counted(counter, **labels):
+    return counter.labels(**labels)._value.get()
+
+
+def test_bus_drops_bad_messages_and_goes_on():
+    async def scene():
+        context = zmq.asyncio.Context()
+        me = Incarnation(BUS, "life2")
+        got: asyncio.Queue = asyncio.Queue()
+        receiver = BusReceiver(context, codecs["msgpack"], me, got.put_nowait)
+        receiving = asyncio.create_task(receiver.run())
+        raw = context.socket(zmq.PUSH, socket_class=zmq.Socket)
+        raw.connect(f"tcp://{BUS}")
+        malformed = counted(BAD_INPUT, edge="bus", reason="malformed")
+        other = counted(BUS_DROPS, reason="other_incarnation")
+        raw.send_multipart([b"", b"\xff garbage"])
+        raw.send_multipart([b"one frame"])
+        sender = BusSender(
+            context, codecs["msgpack"], Incarnation("127.0.0.1:1", "s"), print
+        )
+        old_life = Incarnation(BUS, "life1")
+        sender.handle(Outgoing(old_life, messages.Pending("old")))
+        sender.handle(Outgoing(me, messages.Pending("new")))
+        envelope = await got.get()
+        assert envelope.body == messages.Pending("new")
+        assert counted(BAD_INPUT, edge="bus", reason="malformed") == malformed + 1
+        assert counted(BUS_DROPS, reason="other_incarnation") == other + 1
+        receiving.cancel()
+        raw.close(linger=0)
+        for peer in sender.peers.values():
+            peer.socket.close(linger=0)
+        await asyncio.sleep(0)
+        context.destroy(linger=0)
+
+    run_real(scene())
+
+
+@pytest.fixture
+def entry(settings):
+    """Return a function that opens a callers' interface with a router of ours."""
+
+    async def open_entry():
+        router = Mailbox("router")
+        bounds = settings.bounds._replace(body_bytes=2_000)
+        api = CallersApi(router, bounds)
+        server = WebServer(
+            settings._replace(http=HTTP, bounds=bounds),
+            Readiness(),
+            {"router": router},
+            api.routes(),
+        )
+        await server.start()
+        return router, server
+
+    return open_entry
+
+
+HEADERS = {"Idempotency-Key": "k", "Hawthorntrack-Customer": "jardim"}
+URL = f"http://{HTTP}/v1/services/visits/jobs"
+
+
+@pytest.mark.parametrize(
+    ("data", "headers", "status", "kind"),
+    [
+        (b"{", HEADERS, 400, "bad_request"),
+        (b'{"tasks": [{"kind": "a"}]}', {}, 400, "bad_request"),
+        (b" " * 3_000, HEADERS, 413, "body_too_large"),
+    ],
+)
+def test_bad_requests_are_refused_truly(entry, data, headers, status, kind):
+    async def scene():
+        router, server = await entry()
+        async with aiohttp.ClientSession() as session:
+            async with session.post(URL, data=data, headers=headers) as response:
+                body = await response.json()
+            assert response.status == status
+            assert (body["kind"], body["ran"], body["status"]) == (
+                kind,
+                "no",
+                "refused",
+            )
+            async with session.get(f"http://{HTTP}/nowhere") as response:
+                assert (await response.json())["status"] == "refused"
+            async with session.get(f"http://{HTTP}/readyz") as response:
+                assert response.status == 503
+            async with session.get(f"http://{HTTP}/metrics") as response:
+                assert "hawthorntrack_bad_input_total" in await response.text()
+        assert router.queue.empty()
+        await server.stop()
+
+    run_real(scene())
+
+
+def test_slow_body_is_refused_and_holds_up_nobody(entry, monkeypatch):
+    monkeypatch.setattr(web_module, "BODY_TIMEOUT_S", 0.2)
+
+    async def scene():
+        router, server = await entry()
+        reader, writer = await asyncio.open_connection(*HTTP.split(":"))
+        writer.write(
+            b"POST /v1/services/visits/jobs HTTP/1.1\r\nHost: x\r\n"
+            b"Idempotency-Key: k\r\nContent-Length: 100\r\n\r\n{"
+        )
+        async with aiohttp.ClientSession() as session:
+            posting = asyncio.create_task(
+                session.post(URL, data=b'{"tasks": [{"kind": "a"}]}', headers=HEADERS)
+            )
+            ask = await router.get()
+            ask.reply.set_result(Answer("refused", "customer_limit", "no", ""))
+            response = await posting
+            assert response.status == 429
+            assert response.headers["Retry-After"] == "1"
+            await response.read()
+        assert b"400" in await reader.readline()
+        writer.close()
+        await server.stop()
+
+    run_real(scene())
