--- a/hawthorntrack/coordination/tests/conftest.py
+++ b/hawthorntrack/coordination/tests/conftest.py
@@ -1,13 +1,17 @@
 """Fixtures for tests of decisions and of the tasks around them."""
 
+import asyncio
 from typing import Any
 
 import pytest
 
-from hawthorntrack.protocol import local
+from hawthorntrack.coordination.tests.fakes import Cluster
+from hawthorntrack.experiment.layout import deployments, document_body
+from hawthorntrack.protocol import local, rows
 from hawthorntrack.state.actor import Delivery
 from hawthorntrack.state.control import ControlView
 from hawthorntrack.state.mailbox import Mailbox, Tick
+from hawthorntrack.state.table import ABSENT
 from hawthorntrack.state.values import GuardInfo, Incarnation
 
 
@@ -79,3 +83,22 @@
 def tick(actor):
     """Let a task do its upkeep."""
     actor.handle(Tick())
+
+
+@pytest.fixture
+def cluster(settings, places):
+    """Return a function that starts four guards and an entry, all slots open."""
+
+    async def start(seed=1):
+        made = Cluster(settings, places, seed)
+        body = document_body(deployments["jardim"])
+        key = rows.document_key("production", "visits")
+        await made.table.write(key, ABSENT, rows.write_document(1, body))
+        for name in made.places:
+            made.start_guard(name)
+        router = made.start_entry()
+        await asyncio.sleep(4)
+        assert sum(row.formed for row in router.rows.values()) == settings.slots
+        return made, router
+
+    return start
--- a/hawthorntrack/coordination/tests/fakes.py
+++ b/hawthorntrack/coordination/tests/fakes.py
@@ -27,6 +27,20 @@
 
 DELAY_S = 0.002
 TICK_S = 0.1
+LATE_S = 3.0
+ZONE_OUT_BOUND_S = 3.0  # "a few seconds"
+# Submissions and their answers keep their order on the bus; these need not.
+TOLERANT = {
+    messages.Start,
+    messages.Done,
+    messages.NotRun,
+    messages.Probe,
+    messages.Note,
+    messages.NoteTaken,
+    messages.Handover,
+    messages.HandoverTaken,
+    messages.Yield,
+}
 CONTROL_MESSAGES = (messages.AskConfig, messages.ConfigRows)
 
 
@@ -116,7 +130,7 @@
         self.rng = random.Random(seed)
         self.table = FaultyTable()
         self.cuts: set[frozenset[str]] = set()
-        self.loss = 0.0
+        self.loss = self.doubled = self.late = 0.0
         self.starts: list = []
         self.nodes: dict[str, Node] = {}
         self.places = {f"g{n}": place for n, place in enumerate(places)}
@@ -130,10 +144,17 @@
         def send(to: Incarnation, body: Any) -> None:
             lost = frozenset((name, to.address)) in self.cuts
             lost |= name != to.address and self.rng.random() < self.loss
-            if not lost:
-                delay_s = DELAY_S * self.rng.uniform(0.5, 1.5)
-                loop = asyncio.get_running_loop()
-                loop.call_later(delay_s, self.deliver, me, to, body)
+            if lost:
+                return
+            loop = asyncio.get_running_loop()
+            delay_s = DELAY_S * self.rng.uniform(0.5, 1.5)
+            if type(body) in TOLERANT:
+                if self.rng.random() < self.doubled:
+                    later_s = self.rng.uniform(0, LATE_S)
+                    loop.call_later(later_s, self.deliver, me, to, body)
+                if self.rng.random() < self.late:
+                    delay_s += self.rng.uniform(0, LATE_S)
+            loop.call_later(delay_s, self.deliver, me, to, body)
 
         return send
 
@@ -254,3 +275,51 @@
     reply = asyncio.get_running_loop().create_future()
     router.mailbox.post(local.Ask(job, reply))
     return reply
+
+
+async def stop(cluster):
+    """End all nodes."""
+    for name in list(cluster.nodes):
+        cluster.kill(name)
+    await asyncio.sleep(0)
+
+
+def check(cluster, replies):
+    """Assert what must always hold of jobs and their answers, by key."""
+    assert cluster.double_starts() == []
+    for key, answers in replies.items():
+        assert all(reply.done() for reply in answers)
+        results = [reply.result() for reply in answers]
+        if all(answer.ran == "no" for answer in results):
+            assert not cluster.started(key)
+        for answer in results:
+            assert (answer.status == "complete") == bool(answer.results)
+
+
+async def load(cluster, router, make_job, jobs=40, gap_s=0.1, again_s=(0.0, 3.0)):
+    """Submit jobs in a row, each again after a while; return the answers by key."""
+    replies = {}
+    loop = asyncio.get_running_loop()
+    for number in range(jobs):
+        job = make_job(f"k{number}", tasks=1 + number % 3, deadline_ms=6_000)
+        replies[job.key] = [ask(router, job)]
+        for wait_s in again_s:
+            loop.call_later(wait_s, lambda j=job: replies[j.key].append(ask(router, j)))
+        await asyncio.sleep(gap_s)
+    return replies
+
+
+async def settle(replies):
+    """Wait for all answers."""
+    await asyncio.sleep(11)
+    return replies
+
+
+def starts_after_zone_out(cluster: Cluster, zone: str, out_at: float) -> list:
+    """Return the starts in a zone later than the bound after it was taken out."""
+    limit = out_at + ZONE_OUT_BOUND_S
+    return [
+        start
+        for start in cluster.starts
+        if start[1:] > (zone, limit) and start[1] == zone
+    ]
--- a/hawthorntrack/coordination/tests/test_failures.py
+++ b/hawthorntrack/coordination/tests/test_failures.py
@@ -4,70 +4,17 @@
 
 import pytest
 
-from hawthorntrack.coordination.tests.fakes import Cluster, ask
-from hawthorntrack.experiment.layout import deployments, document_body
+from hawthorntrack.coordination.tests.fakes import (
+    ask,
+    check,
+    load,
+    settle,
+    starts_after_zone_out,
+    stop,
+)
 from hawthorntrack.protocol import rows
 from hawthorntrack.state.table import ABSENT
 
-ZONE_OUT_BOUND_S = 3.0
-
-
-@pytest.fixture
-def cluster(settings, places):
-    """Return a function that starts four guards and an entry, all slots open."""
-
-    async def start(seed=1):
-        made = Cluster(settings, places, seed)
-        body = document_body(deployments["jardim"])
-        key = rows.document_key("production", "visits")
-        await made.table.write(key, ABSENT, rows.write_document(1, body))
-        for name in made.places:
-            made.start_guard(name)
-        router = made.start_entry()
-        await asyncio.sleep(4)
-        assert sum(row.formed for row in router.rows.values()) == settings.slots
-        return made, router
-
-    return start
-
-
-async def stop(cluster):
-    """End all nodes."""
-    for name in list(cluster.nodes):
-        cluster.kill(name)
-    await asyncio.sleep(0)
-
-
-def check(cluster, replies):
-    """Assert what must always hold of jobs and their answers, by key."""
-    assert cluster.double_starts() == []
-    for key, answers in replies.items():
-        assert all(reply.done() for reply in answers)
-        results = [reply.result() for reply in answers]
-        if all(answer.ran == "no" for answer in results):
-            assert not cluster.started(key)
-        for answer in results:
-            assert (answer.status == "complete") == bool(answer.results)
-
-
-async def load(cluster, router, make_job, jobs=40, gap_s=0.1, again_s=(0.0, 3.0)):
-    """Submit jobs in a row, each again after a while; return the answers by key."""
-    replies = {}
-    loop = asyncio.get_running_loop()
-    for number in range(jobs):
-        job = make_job(f"k{number}", tasks=1 + number % 3, deadline_ms=6_000)
-        replies[job.key] = [ask(router, job)]
-        for wait_s in again_s:
-            loop.call_later(wait_s, lambda j=job: replies[j.key].append(ask(router, j)))
-        await asyncio.sleep(gap_s)
-    return replies
-
-
-async def settle(replies):
-    """Wait for all answers."""
-    await asyncio.sleep(11)
-    return replies
-
 
 @pytest.mark.parametrize("fault", ["kill", "freeze", "cut", "isolate"])
 @pytest.mark.parametrize("table", ["up", "down", "lose_answers"])
@@ -103,7 +50,7 @@
 def test_no_task_starts_twice_whatever_happens(run, cluster, make_job, seed):
     async def scene():
         made, router = await cluster(seed)
-        made.loss = 0.02
+        made.loss, made.doubled, made.late = 0.02, 0.05, 0.05
         loading = asyncio.ensure_future(load(made, router, make_job, jobs=80))
         names = list(made.places)
         for _ in range(6):
@@ -127,7 +74,7 @@
                     made.table.mode = mode if mode in ("down", "lose_answers") else "up"
                     await asyncio.sleep(made.rng.uniform(0.5, 4))
                     made.table.mode = "up"
-        made.loss = 0.0
+        made.loss = made.doubled = made.late = 0.0
         check(made, await settle(await loading))
         await stop(made)
 
@@ -148,11 +95,7 @@
         await asyncio.sleep(5)
         made.resume("g0")
         check(made, await settle(await loading))
-        late = [
-            start
-            for start in made.starts
-            if start[1] == "recife" and start[2] > out_at + ZONE_OUT_BOUND_S
-        ]
+        late = starts_after_zone_out(made, "recife", out_at)
         assert late == []
         await stop(made)
 
--- /dev/null
+++ b/hawthorntrack/experiment/bench.py
@@ -0,0 +1,232 @@
+"""Compares placement policies: paired runs in turn on one running deployment."""
+
+import asyncio
+import statistics
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import msgspec
+
+from hawthorntrack.experiment.checks import violations
+from hawthorntrack.experiment.launcher import ENVIRONMENT, Fleet
+from hawthorntrack.experiment.layout import Deployment, deployments, document_body
+from hawthorntrack.experiment.records import Run
+from hawthorntrack.experiment.replay import Replay
+from hawthorntrack.experiment.scenarios import trace_of
+from hawthorntrack.experiment.summary import Figures, figures, reasons
+from hawthorntrack.protocol.rows import document_key, write_document
+from hawthorntrack.state.documents import DocumentBody
+
+WARM_UP_S = 3.0
+TAIL_S = 1.0
+
+
+class Result(NamedTuple):
+    """One run of one policy in one scenario.
+
+    Attributes
+    ----------
+    through_zone : float
+        Tasks completed while the zone was out, over those the capacity that
+        remained was offered before; 0 outside the zone scenario.
+    """
+
+    scenario: str
+    policy: str
+    round: int
+    figures: Figures
+    refusals: dict[str, float]
+    not_run: dict[str, float]
+    violations: list[str]
+    through_zone: float
+
+
+def variant_body(deployment: Deployment, variant: str) -> DocumentBody:
+    """Return the document of a variant: a policy, or ``policy/guard_queue``.
+
+    Examples
+    --------
+    >>> body = variant_body(deployments["jardim"], "random/8")
+    >>> body["policy"], body["limits"]["guard_queue"]
+    ('random', 8)
+    """
+    policy, _, queue = variant.partition("/")
+    body = document_body(deployment, policy)
+    if queue:
+        body["limits"]["guard_queue"] = int(queue)
+    return body
+
+
+async def set_policy(fleet: Fleet, policy: str, number: int) -> None:
+    """Put the document with a policy in force on every process."""
+    value = write_document(number, variant_body(fleet.deployment, policy))
+    key = document_key(ENVIRONMENT, fleet.deployment.service)
+    stamp = await fleet.write_row(key, value)
+
+    async def in_force() -> bool:
+        names = fleet.live([*fleet.guards(), *fleet.entries()])
+        pages = [await fleet.status(name) for name in names]
+        return all(page["control"]["stamp"] >= stamp for page in pages)
+
+    await fleet.until(in_force, "the policy is in force")
+
+
+def through_zone(run: Run, seconds: float) -> float:
+    """Return the completion rate while a zone is out over that before."""
+    if not run.zones_out:
+        return 0.0
+    ends = [
+        (item.begun_s + item.spent_s, item.tasks)
+        for item in run.submissions
+        if item.status == "complete"
+    ]
+    third = seconds / 3
+
+    def done(begin: float, end: float) -> int:
+        return sum(tasks for at, tasks in ends if begin <= at < end)
+
+    return (
+        done(third, 2 * third) / max(1, done(TAIL_S, third)) * (third - TAIL_S) / third
+    )
+
+
+async def compare(
+    deployment_name: str,
+    scenario_names: list[str],
+    policy_names: list[str],
+    rounds: int,
+    seconds: float,
+    base_port: int,
+    tell: Any,
+) -> list[Result]:
+    """Run every policy in every scenario, in turn, and return the results."""
+    deployment = deployments[deployment_name]
+    fleet = Fleet(deployment, base_port)
+    results = []
+    number = 1
+    try:
+        await fleet.start()
+        warm = trace_of("steady", deployment_name, deployment, WARM_UP_S, "warm", 99)
+        await Replay(warm, fleet=fleet).measure()
+        for turn in range(rounds):
+            for scenario in scenario_names:
+                for policy in policy_names:
+                    number += 1
+                    await set_policy(fleet, policy, number)
+                    prefix = f"{scenario}-{policy}-{turn}"
+                    trace = trace_of(
+                        scenario, deployment_name, deployment, seconds, prefix, turn
+                    )
+                    run = await Replay(trace, fleet=fleet).measure()
+                    result = Result(
+                        scenario,
+                        policy,
+                        turn,
+                        figures(run),
+                        reasons(run, "refusals"),
+                        reasons(run, "not_run"),
+                        violations(run),
+                        through_zone(run, seconds),
+                    )
+                    results.append(result)
+                    tell(result_line(result))
+        await fleet.stop()
+    finally:
+        await fleet.close()
+    return results
+
+
+def result_line(result: Result) -> str:
+    """Return one line for a result."""
+    got = result.figures
+    cpu = " ".join(f"{k}={v:.1f}" for k, v in sorted(got.cpu_ms_per_task.items()))
+    zone = f" through zone {result.through_zone:.2f}" if result.through_zone else ""
+    bad = f" VIOLATIONS {result.violations[:2]}" if result.violations else ""
+    return (
+        f"{result.scenario:<12} {result.policy:<16} p50 {got.p50:5.2f}"
+        f"  p99 {got.p99:5.2f}  p99.9 {got.p999:5.2f}  msg/task"
+        f" {got.messages_per_task:4.2f}  wasted {100 * got.wasted_share:5.2f}%"
+        f"  {result.not_run}"
+        f"  {got.complete}/{got.jobs} complete{zone}  cpu ms/task {cpu}{bad}"
+    )
+
+
+def medians(results: list[Result]) -> list[dict[str, Any]]:
+    """Return the medians over rounds, for each scenario and policy."""
+    groups: dict[tuple[str, str], list[Result]] = {}
+    for result in results:
+        groups.setdefault((result.scenario, result.policy), []).append(result)
+    names = ("p50", "p99", "p999", "messages_per_task", "wasted_share")
+    return [
+        {
+            "scenario": scenario,
+            "policy": policy,
+            "rounds": len(group),
+            "complete": sum(item.figures.complete for item in group),
+            "jobs": sum(item.figures.jobs for item in group),
+            "through_zone": statistics.median(item.through_zone for item in group),
+            "violations": sum(len(item.violations) for item in group),
+            **{
+                name: statistics.median(getattr(item.figures, name) for item in group)
+                for name in names
+            },
+        }
+        for (scenario, policy), group in groups.items()
+    ]
+
+
+def write_report(results: list[Result], folder: Path) -> None:
+    """Write the results as JSON, and the medians as a plot."""
+    folder.mkdir(parents=True, exist_ok=True)
+    rows = medians(results)
+    runs = [
+        {**result._asdict(), "figures": result.figures._asdict()} for result in results
+    ]
+    (folder / "bench.json").write_bytes(
+        msgspec.json.format(msgspec.json.encode({"medians": rows, "runs": runs}))
+    )
+    plot(rows, folder / "bench.svg")
+
+
+def plot(rows: list[dict[str, Any]], path: Path) -> None:
+    """Draw p50 and p99 of each policy in each scenario."""
+    import matplotlib
+
+    matplotlib.use("svg")
+    from matplotlib import pyplot
+
+    scenario_names = list(dict.fromkeys(row["scenario"] for row in rows))
+    policy_names = list(dict.fromkeys(row["policy"] for row in rows))
+    figure, axes = pyplot.subplots(1, 2, figsize=(11, 4))
+    width = 0.8 / len(policy_names)
+    for axis, name in zip(axes, ("p50", "p99"), strict=True):
+        for offset, policy in enumerate(policy_names):
+            found = {r["scenario"]: r[name] for r in rows if r["policy"] == policy}
+            places = [n + offset * width for n in range(len(scenario_names))]
+            heights = [found.get(scenario, 0) for scenario in scenario_names]
+            axis.bar(places, heights, width, label=policy)
+        axis.set_xticks(range(len(scenario_names)), scenario_names)
+        axis.set_title(f"response time over the ideal, {name}")
+    axes[0].legend(fontsize=8)
+    figure.tight_layout()
+    figure.savefig(path)
+
+
+def run_bench(
+    deployment: str,
+    scenario_names: list[str],
+    policy_names: list[str],
+    rounds: int,
+    seconds: float,
+    base_port: int,
+    folder: Path,
+    tell: Any,
+) -> list[Result]:
+    """Compare the policies and write the report."""
+    results = asyncio.run(
+        compare(
+            deployment, scenario_names, policy_names, rounds, seconds, base_port, tell
+        )
+    )
+    write_report(results, folder)
+    return results
--- /dev/null
+++ b/hawthorntrack/experiment/capacity.py
@@ -0,0 +1,165 @@
+"""What each role needs at the target size, worked out from measured slopes."""
+
+from typing import NamedTuple
+
+from hawthorntrack.experiment.slopes import Slopes, fit
+
+
+class Size(NamedTuple):
+    """The users' target."""
+
+    guards: int = 13_000
+    entries: int = 200
+    starts_per_s: float = 1_100_000
+    tasks_per_job: float = 20
+    zones: int = 10
+    services: int = 370
+    retention_s: float = 600
+    slots_per_guard: float = 2
+    reads_per_s: float = 2_000
+    writes_per_s: float = 300
+    changes_per_day: float = 17_000
+    control_cpu: float = 0.017
+    control_mb: float = 256
+    control_bytes_per_s: float = 6_000
+
+
+class Need(NamedTuple):
+    """One figure at the target, against its bound.
+
+    Attributes
+    ----------
+    bound : float
+        The target's bound; 0 where none is stated.
+    """
+
+    role: str
+    what: str
+    value: float
+    unit: str
+    bound: float = 0.0
+
+    @property
+    def factor(self) -> float:
+        """The figure over its bound; above 1 it does not fit."""
+        return self.value / self.bound if self.bound else 0.0
+
+
+LARGE_BEAT_INTERVAL_S = 1.0
+LARGE_FANOUT = 16
+PARTNERS_PER_SLOT = 2
+
+
+def needs(slopes: Slopes, size: Size = Size()) -> list[Need]:
+    """Return every figure at the target size."""
+    jobs_per_s = size.starts_per_s / size.tasks_per_job
+    jobs_here = jobs_per_s / size.guards
+    starts_here = size.starts_per_s / size.guards
+    memory = slopes.memory_bytes
+    base = fit([(item.guards, item.resident_mb) for item in slopes.idle])
+    per_task = fit([(x.tasks_per_s, x.guard_cpu_s_per_s) for x in slopes.loaded]).slope
+    entry_task = fit(
+        [(x.tasks_per_s, x.entry_cpu_s_per_s) for x in slopes.loaded]
+    ).slope
+    peers = LARGE_FANOUT + PARTNERS_PER_SLOT * size.slots_per_guard
+    beats = 2 * peers / LARGE_BEAT_INTERVAL_S
+    message_s = message_cpu_s(slopes)
+    keys_mb = 2 * jobs_here * size.retention_s * memory["remembered key"] / 1e6
+    starts_mb = starts_here * size.retention_s * memory["remembered start"] / 1e6
+    view_mb = 64 * memory["guard in view"] / 1e6
+    lost = size.guards / size.zones
+    claims = 2 * size.slots_per_guard * lost
+    listed_s = size.reads_per_s / (size.guards + size.entries)
+    return [
+        Need("guard", "jobs owned", jobs_here, "jobs/s"),
+        Need("guard", "starts", starts_here, "starts/s"),
+        Need("guard", "processor for jobs and starts", starts_here * per_task, "cores"),
+        Need("guard", "keys, own and witnessed", keys_mb, "MB"),
+        Need("guard", "memory of starts", starts_mb, "MB"),
+        Need("guard", "guards in view", view_mb, "MB"),
+        Need("guard", "process without load", base.intercept, "MB"),
+        Need(
+            "guard",
+            "memory in all",
+            base.intercept + keys_mb + starts_mb + view_mb,
+            "MB",
+            size.control_mb,
+        ),
+        Need(
+            "guard",
+            "heartbeats sent, bytes",
+            beats / 2 * slopes.beat_bytes,
+            "B/s",
+            size.control_bytes_per_s,
+        ),
+        Need(
+            "guard",
+            "processor for heartbeats both ways",
+            beats * message_s,
+            "cores",
+            size.control_cpu,
+        ),
+        Need("entry", "jobs", jobs_per_s / size.entries, "jobs/s"),
+        Need(
+            "entry",
+            "processor",
+            size.starts_per_s / size.entries * entry_task,
+            "cores",
+            1.0,
+        ),
+        Need("table", "configuration polls", 400, "reads/s", size.reads_per_s),
+        Need(
+            "table",
+            "registrations read whole by each process every second",
+            size.guards + size.entries,
+            "reads/s",
+            size.reads_per_s,
+        ),
+        Need("table", "interval that fits all list reads", 1 / listed_s, "s"),
+        Need("table", "claims after a zone's loss", claims, "claims"),
+        Need(
+            "table",
+            "time to move those slots",
+            2 * claims / size.writes_per_s,
+            "s",
+        ),
+        Need("table", "restarts and failures", 3 * 5_000 / 86_400, "writes/s"),
+        Need("table", "changes", size.changes_per_day / 86_400, "writes/s"),
+    ]
+
+
+def message_cpu_s(slopes: Slopes) -> float:
+    """Return processor seconds for one control message, from idle deployments."""
+    line = fit([(item.messages_per_s, item.cpu_share) for item in slopes.idle])
+    return max(line.slope, 0.0) / 2
+
+
+def slope_lines(slopes: Slopes) -> list[str]:
+    """Return the slopes as lines."""
+    lines = [f"{name}: {size:.0f} bytes" for name, size in slopes.memory_bytes.items()]
+    lines += [f"{name}: {us:.1f} us" for name, us in slopes.processor_us.items()]
+    lines.append(f"heartbeat: {slopes.beat_bytes} bytes")
+    lines += [
+        f"idle, {item.guards} guards: {100 * item.cpu_share:.2f}% of a core,"
+        f" {item.bytes_per_s:.0f} B/s, {item.messages_per_s:.1f} messages/s sent,"
+        f" {item.table_reads_per_s:.2f} table reads/s, {item.resident_mb:.0f} MB,"
+        f" slots open after {item.formed_after_s:.1f} s"
+        for item in slopes.idle
+    ]
+    lines += [
+        f"load, {item.tasks_per_s:.0f} tasks/s in {item.jobs_per_s:.1f} jobs/s:"
+        f" guards {item.guard_cpu_s_per_s:.2f} cores, entries"
+        f" {item.entry_cpu_s_per_s:.3f} cores, {item.messages_per_task:.2f}"
+        f" messages/task, {item.bytes_per_task:.0f} B/task"
+        for item in slopes.loaded
+    ]
+    return lines
+
+
+def capacity_lines(slopes: Slopes) -> list[str]:
+    """Return the figures at the target size as lines."""
+    return [
+        f"{need.role:<6} {need.what:<54} {need.value:>12.3f} {need.unit:<9}"
+        + (f" {need.factor:6.2f} of the bound" if need.bound else "")
+        for need in needs(slopes)
+    ]
--- a/hawthorntrack/experiment/launcher.py
+++ b/hawthorntrack/experiment/launcher.py
@@ -153,7 +153,7 @@
         words = [word for key, item in options.items() for word in (f"--{key}", item)]
         self.spawn(f"target{number}", "hawthorntrack.standins.target", *map(str, words))
 
-    async def start(self) -> None:
+    async def start(self, targets: bool = True) -> None:
         """Start everything and wait until every slot has an open owner."""
         self.session = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=70),
@@ -166,13 +166,15 @@
         await self.table.write(key, 0, write_document(1, body))
         for number, name in enumerate(self.guards()):
             self.spawn_daemon(name)
-            self.spawn_target(number)
+            if targets:
+                self.spawn_target(number)
         for name in self.entries():
             self.spawn_daemon(name)
         for name in [*self.guards(), *self.entries()]:
             await self.reach(name, "/readyz")
         await self.until(self.all_slots_open, "every slot has an open owner")
-        await self.until(self.all_targets_known, "every target has announced itself")
+        if targets:
+            await self.until(self.all_targets_known, "every target is announced")
 
     async def reach(self, name: str, path: str) -> None:
         """Wait until a process answers 200."""
--- a/hawthorntrack/experiment/main.py
+++ b/hawthorntrack/experiment/main.py
@@ -5,11 +5,20 @@
 from pathlib import Path
 
 import click
+import msgspec
 
+from hawthorntrack.coordination.placement import policies
+from hawthorntrack.experiment.bench import run_bench
+from hawthorntrack.experiment.capacity import capacity_lines, slope_lines
 from hawthorntrack.experiment.demo import problems_of, show_answer
+from hawthorntrack.experiment.launcher import Fleet
+from hawthorntrack.experiment.layout import deployments
 from hawthorntrack.experiment.replay import Replay
+from hawthorntrack.experiment.scenarios import scenarios
+from hawthorntrack.experiment.slopes import measure_all
 from hawthorntrack.experiment.summary import summary_lines
 from hawthorntrack.experiment.trace import read_trace
+from hawthorntrack.standins.serving import until_stopped
 
 
 @click.group()
@@ -41,5 +50,81 @@
     sys.exit(1 if failed else 0)
 
 
+@main.command()
+@click.option("--deployment", default="jardim", show_default=True)
+@click.option("--scenario", "names", multiple=True, help="All if none is given.")
+@click.option("--policy", "policy_names", multiple=True, help="All if none is given.")
+@click.option("--rounds", default=1, show_default=True)
+@click.option("--seconds", default=10.0, show_default=True, help="Length of a run.")
+@click.option("--base-port", default=23_000, show_default=True)
+@click.option("--out", default="out", show_default=True, type=click.Path())
+def bench(
+    deployment: str,
+    names: tuple[str, ...],
+    policy_names: tuple[str, ...],
+    rounds: int,
+    seconds: float,
+    base_port: int,
+    out: str,
+) -> None:
+    """Compare placement policies in paired runs; write OUT/bench.json and .svg."""
+    results = run_bench(
+        deployment,
+        list(names) or list(scenarios),
+        list(policy_names) or list(policies),
+        rounds,
+        seconds,
+        base_port,
+        Path(out),
+        click.echo,
+    )
+    sys.exit(any(result.violations for result in results))
+
+
+@main.command()
+@click.option("--guards", "counts", multiple=True, type=int, default=(11, 25, 50, 100))
+@click.option("--share", "shares", multiple=True, default=(0.1, 0.3, 0.5, 0.7))
+@click.option("--seconds", default=8.0, show_default=True, help="Length of a load.")
+@click.option("--base-port", default=25_000, show_default=True)
+@click.option("--out", default="out", show_default=True, type=click.Path())
+def slopes(
+    counts: tuple[int, ...],
+    shares: tuple[float, ...],
+    seconds: float,
+    base_port: int,
+    out: str,
+) -> None:
+    """Measure the slopes behind docs/CAPACITY.md; write OUT/slopes.json."""
+    found = asyncio.run(measure_all(list(counts), list(shares), base_port, seconds))
+    folder = Path(out)
+    folder.mkdir(parents=True, exist_ok=True)
+    text = msgspec.json.format(msgspec.json.encode(found._asdict()))
+    (folder / "slopes.json").write_bytes(text)
+    for line in [*slope_lines(found), *capacity_lines(found)]:
+        click.echo(line)
+
+
+@main.command()
+@click.option("--deployment", default="jardim", show_default=True)
+@click.option("--base-port", default=21_000, show_default=True)
+def up(deployment: str, base_port: int) -> None:
+    """Start a deployment and keep it running until Ctrl-C."""
+    asyncio.run(keep_up(Fleet(deployments[deployment], base_port)))
+
+
+async def keep_up(fleet: Fleet) -> None:
+    """Run a deployment until interrupted, then stop it gracefully."""
+    try:
+        await fleet.start()
+        click.echo(f"table  http://{fleet.ports.table()}")
+        for name in fleet.entries():
+            click.echo(f"{name} http://{fleet.http(name)}")
+        click.echo(f"settings and logs in {fleet.folder}; Ctrl-C stops it")
+        await until_stopped()
+        await fleet.stop()
+    finally:
+        await fleet.close()
+
+
 if __name__ == "__main__":
     main()
--- a/hawthorntrack/experiment/replay.py
+++ b/hawthorntrack/experiment/replay.py
@@ -37,17 +37,19 @@
         First of the ports used.
     policy : str
         Placement policy of the service's document.
+    fleet : Fleet or None
+        A deployment that runs already, for one of several traces in turn.
     """
 
     def __init__(
-        self, trace: Trace, base_port: int = 21_000, policy: str = "expected_finish"
+        self,
+        trace: Trace,
+        base_port: int = 21_000,
+        policy: str = "expected_finish",
+        fleet: Fleet | None = None,
     ) -> None:
-        deployment = deployments[trace.header["deployment"]]
-        if "speeds" in trace.header:
-            deployment = deployment._replace(speeds=tuple(trace.header["speeds"]))
         self.trace = trace
-        settings = trace.header.get("settings")
-        self.fleet = Fleet(deployment, base_port, policy, settings)
+        self.fleet = fleet or fleet_for(trace, base_port, policy)
         self.submissions: list[Submission] = []
         self.zones_out: list[ZoneOut] = []
         self.stamps: dict[str, list[int]] = {}
@@ -59,24 +61,28 @@
         """Start the deployment, replay, stop it, and return the record."""
         try:
             await self.fleet.start()
-            watcher = asyncio.create_task(self.watch_stamps())
-            await self.play()
-            watcher.cancel()
-            await asyncio.sleep(SETTLE_S)
-            counters = await self.counters()
-            starts = await self.fleet.starts()
-            cpu_s = self.cpu_seconds()
+            run = await self.measure()
             codes = await self.fleet.stop()
-            self.notes["exit_codes"] = {n: c for n, c in codes.items() if c}
+            run.notes["exit_codes"] = {n: c for n, c in codes.items() if c}
         finally:
             await self.fleet.close()
+        return run
+
+    async def measure(self) -> Run:
+        """Replay on a deployment that runs, and return what this trace caused."""
+        counters, cpu_s = await self.counters(), self.cpu_seconds()
+        watcher = asyncio.create_task(self.watch_stamps())
+        await self.play()
+        watcher.cancel()
+        await asyncio.sleep(SETTLE_S)
+        keys = {item.key for item in self.submissions}
         return Run(
             self.submissions,
-            starts,
+            [start for start in await self.fleet.starts() if start["key"] in keys],
             self.zones_out,
-            counters,
+            increase(counters, await self.counters()),
             self.stamps,
-            cpu_s,
+            increase(cpu_s, self.cpu_seconds()),
             self.notes,
         )
 
@@ -109,9 +115,7 @@
         sums: dict[str, float] = {}
         names = [*self.fleet.guards(), *self.fleet.entries()]
         for name in self.fleet.live(names):
-            url = f"http://{self.fleet.http(name)}/metrics"
-            async with self.fleet.session.get(url) as response:
-                text = await response.text()
+            text = await self.metrics(name)
             role = "entry" if name.startswith("entry") else "guard"
             for family in text_string_to_metric_families(text):
                 for sample in family.samples:
@@ -120,6 +124,14 @@
                         sums[key] = sums.get(key, 0.0) + sample.value
         return sums
 
+    async def metrics(self, name: str) -> str:
+        """Return a daemon's metrics; none from one that is just starting."""
+        url = f"http://{self.fleet.http(name)}/metrics"
+        with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+            async with self.fleet.session.get(url) as response:
+                return await response.text()
+        return ""
+
     def cpu_seconds(self) -> dict[str, float]:
         """Return processor seconds spent so far, by role."""
         spent: dict[str, float] = {}
@@ -173,6 +185,26 @@
         return time.time()
 
 
+def fleet_for(trace: Trace, base_port: int, policy: str) -> Fleet:
+    """Return the deployment that a trace asks for."""
+    deployment = deployments[trace.header["deployment"]]
+    if "speeds" in trace.header:
+        deployment = deployment._replace(speeds=tuple(trace.header["speeds"]))
+    return Fleet(deployment, base_port, policy, trace.header.get("settings"))
+
+
+def increase(before: dict[str, float], after: dict[str, float]) -> dict[str, float]:
+    """Return by how much each value grew; a process that restarted counts from 0.
+
+    Examples
+    --------
+    >>> increase({"a": 1.0}, {"a": 3.0, "b": 2.0})
+    {'a': 2.0, 'b': 2.0}
+    """
+    grown = {name: value - before.get(name, 0.0) for name, value in after.items()}
+    return {name: max(0.0, value) for name, value in grown.items()}
+
+
 def counter_key(name: str, labels: dict[str, str], role: str) -> str:
     """Return the name that a counter's sum goes by.
 
--- /dev/null
+++ b/hawthorntrack/experiment/slopes.py
@@ -0,0 +1,320 @@
+"""Slopes that the capacity page is worked out from, measured on this machine."""
+
+import asyncio
+import random
+import resource
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from hawthorntrack.coordination.placement import Scene, WaitingTask, policies
+from hawthorntrack.experiment.launcher import Fleet
+from hawthorntrack.experiment.layout import deployments
+from hawthorntrack.experiment.replay import Replay, increase, process_cpu_s
+from hawthorntrack.experiment.scenarios import load
+from hawthorntrack.experiment.summary import figures
+from hawthorntrack.experiment.trace import Trace
+from hawthorntrack.protocol import messages
+from hawthorntrack.protocol.codec import codecs
+from hawthorntrack.state.answers import AnswerStore
+from hawthorntrack.state.fleet import Fleet as FleetView
+from hawthorntrack.state.keys import KeySet
+from hawthorntrack.state.registry import Registry
+from hawthorntrack.state.started import StartedTask, StartMemory
+from hawthorntrack.state.targets import GuardView
+from hawthorntrack.state.values import (
+    Answer,
+    Incarnation,
+    Place,
+    TargetLoad,
+    TaskResult,
+    TaskSpec,
+)
+
+OBSERVE_S = 8.0
+SETTLE_S = 6.0
+REPEATS = 5
+
+Maker = Callable[[int], Any]
+memory: Registry[Maker] = Registry("memory slope")
+processor: Registry[Callable[[], float]] = Registry("processor slope")
+
+
+class Line(NamedTuple):
+    """A straight line through measured points."""
+
+    intercept: float
+    slope: float
+
+
+def fit(points: list[tuple[float, float]]) -> Line:
+    """Return the least-squares line through points.
+
+    Examples
+    --------
+    >>> fit([(0, 1), (1, 3), (2, 5)])
+    Line(intercept=1.0, slope=2.0)
+    """
+    xs, ys = zip(*points, strict=True)
+    slope, intercept = statistics.linear_regression(xs, ys)
+    return Line(intercept, slope)
+
+
+# --- memory, in bytes for each item
+
+
+def guard_name(number: int) -> Incarnation:
+    """Return a guard's name as large as real ones."""
+    return Incarnation(f"10.{number % 200}.{number % 250}.7:{7_000 + number}", "a" * 12)
+
+
+@memory.register("remembered key")
+def many_keys(count: int) -> KeySet:
+    """Return a slot's keys."""
+    keys = KeySet()
+    for number in range(count):
+        keys.note("visits", f"0193c2a0-0000-7000-8000-{number:012d}", bytes(16), 1.0)
+    return keys
+
+
+@memory.register("remembered start")
+def many_starts(count: int) -> StartMemory:
+    """Return a guard's memory of starts, with results of 60 bytes."""
+    starts = StartMemory()
+    owner = guard_name(1)
+    for number in range(count):
+        name = ("visits", f"0193c2a0-0000-7000-8000-{number:012d}", number % 160)
+        starts.start(name, StartedTask(owner, str(number), float(number)))
+        output = str(number).ljust(60).encode()
+        starts.finish(name, TaskResult(number % 160, True, output, 80.5))
+    return starts
+
+
+@memory.register("kept answer of 10 tasks")
+def many_answers(count: int) -> AnswerStore:
+    """Return kept answers."""
+    store = AnswerStore()
+    for number in range(count):
+        results = tuple(
+            TaskResult(i, True, f"{number}-{i}".ljust(60).encode(), 80.5 + i)
+            for i in range(10)
+        )
+        answer = Answer("complete", "", "yes", "", results)
+        store.keep("visits", f"0193c2a0-{number:012d}", answer, 1.0)
+    return store
+
+
+@memory.register("guard in view")
+def many_guards(count: int) -> FleetView:
+    """Return an owner's view of guards."""
+    view = FleetView()
+    for number in range(count):
+        guard = guard_name(number)
+        place = Place(f"zone-{number % 10}", f"rack-{number % 500}", f"w{number}")
+        view.heard_of(guard, place, 1.0)
+        view.loaded(guard, TargetLoad("visits", ("a", "b"), 8, number % 8, 0, 1.1), 1.0)
+        view.measured(guard, "a", 100, 120)
+    return view
+
+
+def bytes_each(make: Maker, count: int = 4_000) -> float:
+    """Return the bytes that each further item takes."""
+
+    def held(number: int) -> int:
+        tracemalloc.start()
+        kept = make(number)
+        size, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        del kept
+        return size
+
+    points = [(n, held(n)) for n in (count // 4, count // 2, count)]
+    return fit([(float(n), float(size)) for n, size in points]).slope
+
+
+# --- processor time, in microseconds for each item
+
+
+def best_us(work: Callable[[], Any], count: int) -> float:
+    """Return the median microseconds of one item of work."""
+    spans = []
+    for _ in range(REPEATS):
+        begun = time.perf_counter()
+        for _ in range(count):
+            work()
+        spans.append((time.perf_counter() - begun) / count * 1e6)
+    return statistics.median(spans)
+
+
+def envelope(body: Any) -> messages.Envelope:
+    """Return a message from a guard."""
+    return messages.Envelope(guard_name(7), 99, body)
+
+
+def beat() -> messages.Envelope:
+    """Return a heartbeat of ordinary size."""
+    kinds = ("confirm", "reroute", "check")
+    loads = (TargetLoad("visits", kinds, 8, 5, 1, 1.03),)
+    return envelope(messages.Beat(Place("recife", "recife-r0", "w000"), False, loads))
+
+
+@processor.register("heartbeat encoded and decoded")
+def codec_us() -> float:
+    """Return the cost of a heartbeat's encoding, both ways."""
+    codec, sample = codecs["msgpack"], beat()
+    return best_us(lambda: codec.decode(codec.encode(sample)), 3_000)
+
+
+@processor.register("task placed among 64 guards")
+def placement_us() -> float:
+    """Return the cost of placing one task of ten."""
+    rng = random.Random(1)
+    views = tuple(
+        GuardView(
+            guard_name(n),
+            Place(f"zone-{n % 3}", "r", "w"),
+            TargetLoad("visits", ("a",), 8, n % 8, 0, 1.0),
+            0,
+            0.0,
+        )
+        for n in range(64)
+    )
+    scene = Scene(views, lambda guard, kind: 1.0, 100.0, "zone-0", 3, rng)
+    tasks = [WaitingTask(1, n, "a", 100.0 + n, frozenset()) for n in range(10)]
+    choose = policies["expected_finish"].choose
+    return best_us(lambda: choose(scene, tasks), 50) / 10
+
+
+@processor.register("start message of ten tasks encoded and decoded")
+def start_us() -> float:
+    """Return the cost of a start message's encoding, both ways."""
+    codec = codecs["msgpack"]
+    spec = TaskSpec("confirm", b'{"visit": 1234567}', 100)
+    tasks = tuple(messages.StartTask(n, 1, spec) for n in range(10))
+    sample = envelope(messages.Start("1", "visits", "k" * 36, 4_000, tasks))
+    return best_us(lambda: codec.decode(codec.encode(sample)), 2_000)
+
+
+# --- processes
+
+
+class Idle(NamedTuple):
+    """What an idle deployment spends, per guard."""
+
+    guards: int
+    cpu_share: float
+    bytes_per_s: float
+    messages_per_s: float
+    table_reads_per_s: float
+    resident_mb: float
+    formed_after_s: float
+
+
+def resident_mb(pid: int) -> float:
+    """Return a process's resident memory in megabytes."""
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * resource.getpagesize() / 1e6
+
+
+async def idle(count: int, base_port: int) -> Idle:
+    """Start so many guards without load, and measure what they spend."""
+    deployment = deployments["jardim"]._replace(workers=count, entries=1)
+    changes = {"slots": max(32, count)}
+    fleet = Fleet(deployment, base_port, changes=changes)
+    try:
+        begun = time.monotonic()
+        await fleet.start(targets=False)
+        formed_s = time.monotonic() - begun
+        await asyncio.sleep(SETTLE_S)
+        replay = Replay(EMPTY, fleet=fleet)
+        names = fleet.guards()
+        before, stats = await replay.counters(), await fleet.get("table", "/stats")
+        pids = [fleet.processes[name].pid for name in names]
+        cpu = sum(map(process_cpu_s, pids))
+        await asyncio.sleep(OBSERVE_S)
+        cpu = sum(map(process_cpu_s, pids)) - cpu
+        sent = increase(before, await replay.counters())
+        reads = (await fleet.get("table", "/stats"))["reads"] - stats["reads"]
+        resident = statistics.median(map(resident_mb, pids))
+    finally:
+        await fleet.close()
+    out = sum(v for k, v in sent.items() if k.startswith("guard:messages{out"))
+    return Idle(
+        count,
+        cpu / OBSERVE_S / count,
+        sent["guard:message_bytes{out}"] / OBSERVE_S / count,
+        out / OBSERVE_S / count,
+        reads / OBSERVE_S / (count + 1),
+        resident,
+        formed_s,
+    )
+
+
+EMPTY = Trace({"trace": "", "deployment": "jardim", "about": ""}, (), ())
+
+
+class Loaded(NamedTuple):
+    """What a deployment spends at one load."""
+
+    jobs_per_s: float
+    tasks_per_s: float
+    guard_cpu_s_per_s: float
+    entry_cpu_s_per_s: float
+    messages_per_task: float
+    bytes_per_task: float
+
+
+async def loaded(shares: list[float], base_port: int, seconds: float) -> list[Loaded]:
+    """Measure the processor time of guards and entries at several loads."""
+    deployment = deployments["jardim"]
+    fleet = Fleet(deployment, base_port)
+    points = []
+    try:
+        await fleet.start()
+        for number, share in enumerate(shares):
+            events = load(deployment, share, 0, seconds, f"slope{number}", number)
+            header = {"trace": "slope", "deployment": "jardim", "about": ""}
+            trace = Trace(header, tuple(events), ())
+            begun = time.monotonic()
+            run = await Replay(trace, fleet=fleet).measure()
+            spent_s = time.monotonic() - begun
+            got = figures(run)
+            points.append(
+                Loaded(
+                    got.jobs / spent_s,
+                    got.tasks_started / spent_s,
+                    run.cpu_s["guard"] / spent_s,
+                    run.cpu_s["entry"] / spent_s,
+                    got.messages_per_task,
+                    run.counters["guard:message_bytes{out}"] / got.tasks_started,
+                )
+            )
+    finally:
+        await fleet.close()
+    return points
+
+
+class Slopes(NamedTuple):
+    """All slopes of one measurement."""
+
+    memory_bytes: dict[str, float]
+    processor_us: dict[str, float]
+    beat_bytes: int
+    idle: list[Idle]
+    loaded: list[Loaded]
+
+
+async def measure_all(
+    counts: list[int], shares: list[float], base_port: int, seconds: float
+) -> Slopes:
+    """Measure every slope."""
+    return Slopes(
+        {name: bytes_each(memory[name]) for name in memory},
+        {name: processor[name]() for name in processor},
+        len(codecs["msgpack"].encode(beat())),
+        [await idle(count, base_port) for count in counts],
+        await loaded(shares, base_port, seconds),
+    )
