Count a failed poll from when it was sent; bound what guards remember

Cause: reading the freshness rule: a poll that is out while its process is frozen fails when it resumes, and its end made the old view fresh again, so that a guard could start tasks in a zone taken out meanwhile. Also found on reading: guards not heard of were never forgotten, and one hung task kept the memory of starts from expiring. Ruled out: asking again on resume only, which needs the freeze to be noticed first. Change: failed_at is the time of sending; settings refuse a freshness below twice the table's timeout; silent guards are forgotten after 60 s; a start that still runs moves to the end of the memory.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo test lint bench model capacity clean
+.PHONY: setup demo test lint model bench slopes clean
 
 $(VENV)/.ready: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -23,5 +23,17 @@
 	$(BIN)/ruff format --check hawthorntrack
 	$(BIN)/ruff check hawthorntrack
 
+# Searches the specifications, mutations included.
+model: setup
+	$(BIN)/python -m hawthorntrack.specs.main
+
+# Compares placement policies; writes out/bench.json and out/bench.svg.
+bench: setup
+	$(BIN)/hawthorntrack-lab bench --rounds 3
+
+# Measures what docs/CAPACITY.md is worked out from; writes out/slopes.json.
+slopes: setup
+	$(BIN)/hawthorntrack-lab slopes
+
 clean:
 	rm -rf $(VENV) out build *.egg-info
--- a/hawthorntrack/coordination/control.py
+++ b/hawthorntrack/coordination/control.py
@@ -171,7 +171,10 @@
         self.polls[answer.subject] = poll._replace(running=False)
         if answer.rows is None:
             RETRIES.labels(reason="table_read_unavailable").inc()
-            self.publish(self.view._replace(failed_at=self.now()))
+            # A poll that was out during a freeze fails at its end: what it tells is
+            # how things stood when it was sent.
+            failed_at = max(self.view.failed_at, answer.sent_at)
+            self.publish(self.view._replace(failed_at=failed_at))
             return
         try:
             view = self.taken(answer)
--- a/hawthorntrack/coordination/pairing.py
+++ b/hawthorntrack/coordination/pairing.py
@@ -28,6 +28,7 @@
 RESEND_S = 0.5
 REWRITE_S = 0.25
 CLAIM_PAUSE_S = 0.5
+FORGET_AFTER_S = 60.0
 
 # Slots are shared by all services: the widest rule that a document asks for holds.
 WITNESS_RULES_WIDEST_FIRST = ("other_zone", "other_rack")
@@ -417,6 +418,7 @@
             # Nobody was heard while this process did not run.
             self.heard = dict.fromkeys(self.heard, now)
         self.ticked_at = now
+        self.forget_silent(now)
         self.update_partners()
         if not self.view.fresh(now, self.settings.timing.freshness_s):
             return
@@ -430,6 +432,12 @@
                     moves += 1
                     self.begin(move)
 
+    def forget_silent(self, now: float) -> None:
+        """Forget guards not heard of for long, ended lives among them."""
+        heard = self.heard
+        self.heard = {g: at for g, at in heard.items() if now - at <= FORGET_AFTER_S}
+        self.leaving_peers &= self.heard.keys()
+
     def update_partners(self) -> None:
         """Tell the heartbeat task whom this guard shares slots with."""
         partners = frozenset(
--- a/hawthorntrack/coordination/runner.py
+++ b/hawthorntrack/coordination/runner.py
@@ -421,6 +421,7 @@
         """End jobs past their deadline, and ask after tasks that take long."""
         now = self.now()
         self.watch_guards(now)
+        self.fleet.forget_silent(now)
         for job in [job for job in self.jobs.values() if job.state == RUNNING]:
             if now >= job.deadline_at:
                 self.give_up(job, DEADLINE_PASSED)
--- a/hawthorntrack/coordination/tests/fakes.py
+++ b/hawthorntrack/coordination/tests/fakes.py
@@ -236,6 +236,10 @@
             executor.mailbox.post(local.Announced(body, reply))
             await asyncio.sleep(0.5)
 
+    def control(self, name: str) -> Control:
+        """Return the control task of a node."""
+        return next(a for a in self.nodes[name].actors if isinstance(a, Control))
+
     # --- faults
 
     def kill(self, name: str) -> None:
--- a/hawthorntrack/coordination/tests/test_failures.py
+++ b/hawthorntrack/coordination/tests/test_failures.py
@@ -12,7 +12,7 @@
     starts_after_zone_out,
     stop,
 )
-from hawthorntrack.protocol import rows
+from hawthorntrack.protocol import local, rows
 from hawthorntrack.state.table import ABSENT
 
 
@@ -102,6 +102,21 @@
     run(scene())
 
 
+def test_poll_that_was_out_during_a_freeze_makes_no_view_fresh(run, cluster):
+    async def scene():
+        made, _ = await cluster()
+        control = made.control("g0")
+        sent_at = control.now()
+        await asyncio.sleep(5)
+        view = control.view._replace(confirmed_at=sent_at, failed_at=sent_at)
+        control.publish(view)
+        control.handle(local.PollAnswered("config", sent_at, None))
+        assert not control.view.fresh(control.now(), 2.5)
+        await stop(made)
+
+    run(scene())
+
+
 def test_minute_without_the_table_stops_nothing(run, cluster, make_job):
     async def scene():
         made, router = await cluster()
@@ -121,17 +136,11 @@
         made, _ = await cluster()
         for node in made.nodes.values():
             if node.info.incarnation.address != "g0":
-                control = next(a for a in node.actors if type(a).__name__ == "Control")
-                control.poll = lambda subject: None
+                made.control(node.info.incarnation.address).poll = lambda subject: None
         key = rows.zones_key("production")
         await made.table.write(key, ABSENT, rows.write_zones(["olinda"]))
         await asyncio.sleep(1)
-        controls = [
-            a
-            for node in made.nodes.values()
-            for a in node.actors
-            if type(a).__name__ == "Control"
-        ]
+        controls = [made.control(name) for name in made.nodes]
         told = [control.view.zones_out for control in controls]
         assert told.count(frozenset({"olinda"})) >= 1
         await stop(made)
--- a/hawthorntrack/state/control.py
+++ b/hawthorntrack/state/control.py
@@ -31,7 +31,7 @@
     confirmed_at : float
         Loop time at which the newest successful poll was sent, in seconds.
     failed_at : float
-        Loop time at which the newest failed poll ended, in seconds.
+        Loop time at which the newest failed poll was sent, in seconds.
     """
 
     stamp: int = 0
--- a/hawthorntrack/state/fleet.py
+++ b/hawthorntrack/state/fleet.py
@@ -9,6 +9,7 @@
 LOADS_BOUND = 4_096  # guards remembered at most
 MEAN_START_MS = 100.0
 IN_FLIGHT_S = 0.005
+FORGET_AFTER_S = 60.0
 MIN_SIZE_MS = 1.0
 
 
@@ -74,6 +75,16 @@
         for name in [name for name in self.ratios if name[0] == guard]:
             del self.ratios[name]
 
+    def forget_silent(self, now: float) -> None:
+        """Forget guards not heard of for long that have no task of ours."""
+        silent = [
+            guard
+            for guard, at in self.heard.items()
+            if now - at > FORGET_AFTER_S and not self.outstanding.get(guard)
+        ]
+        for guard in silent:
+            self.lost(guard)
+
     def sending(self, guard: Incarnation, count: int, now: float) -> None:
         """Count tasks as sent to a guard."""
         self.outstanding[guard] = self.outstanding.get(guard, 0) + count
--- a/hawthorntrack/state/settings.py
+++ b/hawthorntrack/state/settings.py
@@ -10,6 +10,8 @@
 from hawthorntrack.state.documents import ENVIRONMENTS, Milliseconds, Name
 from hawthorntrack.state.values import Place
 
+POLL_SLACK_S = 0.3  # between the end of one poll and the sending of the next
+
 Positive = Annotated[int, msgspec.Meta(ge=1)]
 
 
@@ -204,13 +206,22 @@
             "Raise it, so that one lost heartbeat does not move slots.",
         )
     table = body["table"]
+    table_timeout_s = table.get("timeout_ms", 1000) / 1000
+    if timing.freshness_s < 2 * table_timeout_s + POLL_SLACK_S:
+        raise InvalidInput(
+            source,
+            "timing.freshness_ms",
+            "is under twice table.timeout_ms with 300 ms to spare",
+            "Raise it or lower the timeout, so that an outage of the table does not"
+            " make every view stale.",
+        )
     return Settings(
         environment=body["environment"],
         place=Place(body["zone"], body["rack"], body["worker"]),
         bus=body["listen"]["bus"],
         http=body["listen"]["http"],
         table_url=table["url"].rstrip("/"),
-        table_timeout_s=table.get("timeout_ms", 1000) / 1000,
+        table_timeout_s=table_timeout_s,
         reads_per_s=table.get("reads_per_s", 50),
         writes_per_s=table.get("writes_per_s", 50),
         slots=body.get("slots", 64),
--- a/hawthorntrack/state/started.py
+++ b/hawthorntrack/state/started.py
@@ -73,9 +73,12 @@
         """Forget starts and promises older than the retention."""
         while self.started:
             name, task = next(iter(self.started.items()))
-            if now - task.at <= retention_s or task.result is None:
+            if now - task.at <= retention_s:
                 break
             del self.started[name]
+            if task.result is None:
+                # It still runs: remember it for another retention.
+                self.started[name] = task._replace(at=now)
         while self.given_up:
             name, (_, at) = next(iter(self.given_up.items()))
             if now - at <= retention_s:
--- a/hawthorntrack/state/tests/test_settings.py
+++ b/hawthorntrack/state/tests/test_settings.py
@@ -42,6 +42,7 @@
         ({"environment": "staging"}, "environment", "trial, production"),
         ({"listen": {"bus": "localhost:1", "http": "::1"}}, "listen.bus", "IP number"),
         ({"timing": {"pair_silence_ms": 300}}, "timing.pair_silence_ms", "three times"),
+        ({"timing": {"freshness_ms": 1500}}, "timing.freshness_ms", "outage"),
         ({"slots": 0}, "slots", ">= 1"),
     ],
 )
