Ask owners after jobs until they answer; never say "no" to a question

The entry passed the refusal slot_moving on, with ran "no". That word is false: the job of that key may have run at the owner before. The same held for DELETE, and for a question that found no owner in time.

Ruled out: a wrong test. The page for callers promises "maybe" for a key that is not known.

Change: questions have a task of their own at the entry. What entries know of owners is one small class that both tasks use.

--- a/hawthorntrack/coordination/keeper.py
+++ b/hawthorntrack/coordination/keeper.py
@@ -24,6 +24,7 @@
     UNKNOWN_SERVICE,
     fail,
     refuse,
+    unknown,
 )
 from hawthorntrack.state.settings import Settings
 from hawthorntrack.state.slots import IDLE, OPENED, PHASES
@@ -239,11 +240,12 @@
             self.reply(asker, answer, self.slots[active.slot])
 
     def reply(self, asker: Asker, answer: Answer, slot: Slot | None = None) -> None:
-        """Send an answer; a refusal carries the row, for a better aim."""
+        """Send an answer; one that sends the asker on carries the row."""
         row = None
         if answer.status == "refused":
             REFUSALS.labels(kind=answer.kind).inc()
-            row = slot.state.row if slot else None
+        if slot is not None and answer.status in ("refused", "unknown"):
+            row = slot.state.row
         self.send(asker.incarnation, messages.Answered(asker.request, answer, row))
 
     # --- questions
@@ -268,9 +270,9 @@
         if (ask.service, ask.key) in self.tokens:
             answer = RUNNING
         elif slot.state.phase != OPENED:
-            answer = refuse(SLOT_MOVING)
+            answer = unknown(SLOT_MOVING)
         elif record is None:
-            answer = Answer("unknown", UNKNOWN_JOB.name, "maybe", "")
+            answer = unknown(UNKNOWN_JOB)
         else:
             answer = self.remembered(ask.service, ask.key, record)
         self.reply(Asker(sender, ask.request), answer, slot)
--- a/hawthorntrack/coordination/router.py
+++ b/hawthorntrack/coordination/router.py
@@ -24,13 +24,14 @@
     UNKNOWN_SERVICE,
     fail,
     refuse,
+    settle,
 )
+from hawthorntrack.state.owners import SlotOwners
 from hawthorntrack.state.settings import Settings
-from hawthorntrack.state.values import Answer, Incarnation, JobSpec, SlotRow
+from hawthorntrack.state.values import Answer, Incarnation, JobSpec
 
 RETRY_PAUSE_S = 0.03
 GRACE_S = 0.25  # an owner's own answer at the deadline may still be on its way
-LOOK_UP_LIMIT_S = 2.0
 # Refusals that another try within the deadline can mend.
 PASSING = {SLOT_MOVING.name, STALE_VIEW.name, DRAINING.name}
 
@@ -67,13 +68,6 @@
     send_at: float = 0.0
 
 
-class Question(NamedTuple):
-    """A caller's question about a job under way."""
-
-    reply: asyncio.Future[Answer]
-    deadline_at: float
-
-
 class Router(Actor):
     """Owns the requests of one entry instance.
 
@@ -98,9 +92,8 @@
         self.send = send
         self.drained = drained
         self.view = ControlView()
-        self.rows: dict[int, SlotRow] = {}
+        self.owners = SlotOwners()
         self.requests: dict[str, Request] = {}
-        self.questions: dict[str, Question] = {}
         self.numbers = itertools.count(1)
         self.draining = False
 
@@ -122,14 +115,9 @@
         self.requests[number] = Request(number, job, slot, ask.reply, now, deadline_at)
         self.dispatch(self.requests[number])
 
-    def owner(self, slot: int) -> Incarnation | None:
-        """Return the open owner of a slot, as far as this process knows."""
-        row = self.rows.get(slot)
-        return row.owner if row is not None and row.formed else None
-
     def dispatch(self, request: Request) -> None:
         """Send a request to its owner, or let it wait for one."""
-        now, owner = self.now(), self.owner(request.slot)
+        now, owner = self.now(), self.owners.owner(request.slot)
         if owner is None:
             pause = now + RETRY_PAUSE_S
             self.requests[request.number] = request._replace(
@@ -151,29 +139,16 @@
     @handles(messages.Answered)
     def take_answer(self, answered: messages.Answered, sender: Incarnation) -> None:
         """Give an answer to its caller, or try again after a passing refusal."""
-        if answered.row is not None:
-            self.learn(answered)
-        question = self.questions.pop(answered.request, None)
-        if question is not None:
-            settle(question.reply, answered.answer)
-            return
         request = self.requests.get(answered.request)
         if request is None:
             return
+        if answered.row is not None:
+            self.owners.learn(request.slot, answered.row)
         if answered.answer.status == "refused":
             self.take_refusal(request, answered.answer, sender)
         else:
             self.finish(request, answered.answer)
 
-    def learn(self, answered: messages.Answered) -> None:
-        """Take a slot's row that a guard knows and this process may not."""
-        request = self.requests.get(answered.request)
-        if request is None:
-            return
-        known = self.rows.get(request.slot)
-        if known is None or known.version < answered.row.version:
-            self.rows[request.slot] = answered.row
-
     def take_refusal(
         self, request: Request, answer: Answer, sender: Incarnation
     ) -> None:
@@ -225,32 +200,13 @@
             RETRIES.labels(reason="owner_unheard").inc()
             self.dispatch(request)
 
-    # --- questions
-
-    @handles(local.AskKnown)
-    def ask_known(self, ask: local.AskKnown, sender: Incarnation) -> None:
-        """Pass a caller's question or cancellation on to the job's owner."""
-        slot = slot_of(ask.service, ask.key, self.settings.slots)
-        owner = self.owner(slot)
-        if owner is None:
-            settle(ask.reply, refuse(SLOT_MOVING))
-            return
-        number = str(next(self.numbers))
-        limit = self.now() + LOOK_UP_LIMIT_S
-        self.questions[number] = Question(ask.reply, limit)
-        kind = messages.CancelJob if ask.cancel else messages.LookUp
-        self.send(owner, kind(number, slot, ask.service, ask.key))
-
     # --- upkeep
 
     @handles(local.ViewChanged)
     def take_view(self, change: local.ViewChanged, sender: Incarnation) -> None:
         """Take a new view and the slot rows that are newer than those known."""
         self.view = change.view
-        for slot, row in change.view.slots.items():
-            known = self.rows.get(slot)
-            if known is None or known.version < row.version:
-                self.rows[slot] = row
+        self.owners.learn_all(change.view.slots)
 
     @handles(Tick)
     def keep_up(self, tick: Tick, sender: Incarnation) -> None:
@@ -264,9 +220,6 @@
                     self.dispatch(request)
             else:
                 self.watch(request, now)
-        late = [n for n, q in self.questions.items() if now >= q.deadline_at]
-        for number in late:
-            settle(self.questions.pop(number).reply, refuse(NO_OWNER))
         if self.draining and not self.requests:
             self.drained.post(local.Drained(type(self).__name__))
 
@@ -280,7 +233,7 @@
     def watch(self, request: Request, now: float) -> None:
         """Inquire after a request; turn to a new owner where the old is silent."""
         timing = self.settings.timing
-        owner = self.owner(request.slot)
+        owner = self.owners.owner(request.slot)
         silent = now - request.heard_at > timing.inquire_s + timing.pair_silence_s / 3
         if silent and owner not in (None, request.sent_to):
             RETRIES.labels(reason="owner_silent").inc()
@@ -307,13 +260,7 @@
         """Give the status page the requests under way and the slots' owners."""
         page: dict[str, Any] = {
             "requests": len(self.requests),
-            "slots_open": sum(row.formed for row in self.rows.values()),
+            "slots_open": self.owners.open_slots(),
         }
         if not ask.reply.done():
             ask.reply.set_result(page)
-
-
-def settle(reply: asyncio.Future[Answer], answer: Answer) -> None:
-    """Give an answer to whoever still waits for it."""
-    if not reply.done():
-        reply.set_result(answer)
--- a/hawthorntrack/daemon/entry.py
+++ b/hawthorntrack/daemon/entry.py
@@ -3,6 +3,7 @@
 import random
 
 from hawthorntrack.coordination.control import Control
+from hawthorntrack.coordination.questions import Questioner
 from hawthorntrack.coordination.router import Router
 from hawthorntrack.daemon.process import Process
 from hawthorntrack.protocol import messages
@@ -16,6 +17,7 @@
 BUS_TICK_S = 10.0
 
 ROUTER_MESSAGES = (messages.Answered, messages.Pending, messages.Unheard)
+QUESTIONER_MESSAGES = (messages.Answered,)
 
 
 async def run_entry(settings: Settings) -> None:
@@ -28,6 +30,7 @@
     """
     process = Process(settings)
     me, send = process.me, process.sender.send
+    questioner = Questioner(settings, send, process.drained)
     router = Router(me.incarnation, settings, send, process.drained)
     prefix = entries_prefix(settings.environment)
     process.add_control(
@@ -37,13 +40,14 @@
             settings,
             process.table,
             send,
-            [router.mailbox],
+            [router.mailbox, questioner.mailbox],
             random.Random(settings.seed),
         )
     )
     process.route(router, *ROUTER_MESSAGES)
+    process.route(questioner, *QUESTIONER_MESSAGES)
     tasks = {"control": process.control.mailbox, "router": router.mailbox}
-    routes = CallersApi(router.mailbox, settings.bounds).routes()
+    routes = CallersApi(router.mailbox, questioner.mailbox, settings.bounds).routes()
     server = WebServer(settings, process.readiness, tasks, routes)
     try:
         await process.run(
@@ -51,8 +55,9 @@
                 (process.sender, BUS_TICK_S),
                 (process.control, CONTROL_TICK_S),
                 (router, ROUTER_TICK_S),
+                (questioner, ROUTER_TICK_S),
             ],
-            [router],
+            [router, questioner],
             server,
         )
     finally:
--- a/hawthorntrack/state/outcomes.py
+++ b/hawthorntrack/state/outcomes.py
@@ -1,5 +1,6 @@
 """The kinds of refusal and failure, each with the remedy its message names."""
 
+import asyncio
 from dataclasses import dataclass
 
 from hawthorntrack.state.registry import Registry
@@ -45,6 +46,17 @@
     return Answer("failed", kind.name, ran, detail)
 
 
+def unknown(kind: OutcomeKind) -> Answer:
+    """Return the answer to a question that cannot be answered; the job may run."""
+    return Answer("unknown", kind.name, "maybe", "")
+
+
+def settle(reply: asyncio.Future[Answer], answer: Answer) -> None:
+    """Give an answer to whoever still waits for it."""
+    if not reply.done():
+        reply.set_result(answer)
+
+
 def message(answer: Answer) -> str:
     """Return what was met and the remedy, in words.
 
--- /dev/null
+++ b/hawthorntrack/state/owners.py
@@ -0,0 +1,44 @@
+"""What an entry instance knows of the slots' owners."""
+
+from collections.abc import Mapping
+
+from hawthorntrack.state.values import Incarnation, SlotRow
+
+
+class SlotOwners:
+    """The newest row of each slot that this process has seen.
+
+    Examples
+    --------
+    >>> owners = SlotOwners()
+    >>> guard, other = Incarnation("127.0.0.1:1", "a"), Incarnation("127.0.0.1:2", "b")
+    >>> owners.learn(0, SlotRow(1, guard, other, True, guard, other, 0, 7))
+    >>> owners.learn(0, SlotRow(1, guard, other, False, guard, other, 0, 6))
+    >>> owners.owner(0) == guard
+    True
+    >>> owners.owner(1) is None
+    True
+    """
+
+    def __init__(self) -> None:
+        self.rows: dict[int, SlotRow] = {}
+
+    def learn(self, slot: int, row: SlotRow) -> None:
+        """Take a slot's row, unless a newer one is known."""
+        known = self.rows.get(slot)
+        if known is None or known.version < row.version:
+            self.rows[slot] = row
+
+    def learn_all(self, rows: Mapping[int, SlotRow]) -> None:
+        """Take the rows of a view."""
+        for slot, row in rows.items():
+            self.learn(slot, row)
+
+    def owner(self, slot: int) -> Incarnation | None:
+        """Return the open owner of a slot, as far as this process knows."""
+        row = self.rows.get(slot)
+        return row.owner if row is not None and row.formed else None
+
+    def open_slots(self) -> int:
+        """Return how many slots are known to be open."""
+        return sum(row.formed for row in self.rows.values())
--- a/hawthorntrack/transport/callers.py
+++ b/hawthorntrack/transport/callers.py
@@ -13,25 +13,27 @@
     read_job,
 )
 from hawthorntrack.state.mailbox import Mailbox
-from hawthorntrack.state.outcomes import BAD_REQUEST, QUEUE_FULL, refuse
+from hawthorntrack.state.outcomes import BAD_REQUEST, QUEUE_FULL, refuse, unknown
 from hawthorntrack.state.settings import Bounds
-from hawthorntrack.state.values import Answer
 from hawthorntrack.transport.web import bad, read_body, respond
 
 
 class CallersApi:
-    """Turns callers' requests into messages to the router.
+    """Turns callers' requests into messages to the tasks that see to them.
 
     Parameters
     ----------
     router : Mailbox
         The task that gets jobs to their owners.
+    questioner : Mailbox
+        The task that asks owners after jobs.
     bounds : Bounds
         Bounds on what a request may hold.
     """
 
-    def __init__(self, router: Mailbox, bounds: Bounds) -> None:
+    def __init__(self, router: Mailbox, questioner: Mailbox, bounds: Bounds) -> None:
         self.router = router
+        self.questioner = questioner
         self.bounds = bounds
 
     def routes(self) -> list[web.RouteDef]:
@@ -57,7 +59,9 @@
         except BadBody as error:
             return bad(error.reason, refuse(BAD_REQUEST, str(error)))
         reply = asyncio.get_running_loop().create_future()
-        return await self.answered(job.key, local.Ask(job, reply))
+        if not self.router.post(local.Ask(job, reply)):
+            return respond(job.key, refuse(QUEUE_FULL))
+        return respond(job.key, await reply)
 
     async def look_up(self, request: web.Request) -> web.Response:
         """Answer what is known of a job."""
@@ -68,14 +72,9 @@
         return await self.ask(request, cancel=True)
 
     async def ask(self, request: web.Request, cancel: bool) -> web.Response:
-        """Ask the router about a job."""
+        """Have a job's owner asked."""
         service, key = request.match_info["service"], request.match_info["key"]
         reply = asyncio.get_running_loop().create_future()
-        return await self.answered(key, local.AskKnown(service, key, cancel, reply))
-
-    async def answered(self, key: str, ask: local.Ask | local.AskKnown) -> web.Response:
-        """Post a question and return the response that its answer makes."""
-        if not self.router.post(ask):
-            return respond(key, refuse(QUEUE_FULL))
-        answer: Answer = await ask.reply
-        return respond(key, answer)
+        if not self.questioner.post(local.AskKnown(service, key, cancel, reply)):
+            return respond(key, unknown(QUEUE_FULL))
+        return respond(key, await reply)
--- a/hawthorntrack/transport/tests/test_edges.py
+++ b/hawthorntrack/transport/tests/test_edges.py
@@ -187,7 +187,7 @@
     async def open_entry():
         router = Mailbox("router")
         bounds = settings.bounds._replace(body_bytes=2_000)
-        api = CallersApi(router, bounds)
+        api = CallersApi(router, Mailbox("questioner"), bounds)
         server = WebServer(
             settings._replace(http=HTTP, bounds=bounds),
             Readiness(),
