Cut real connections between processes in a trace

Cause: cuts were brought about only with fakes of the bus.

Change: a process may be told by which address it reaches a peer, as where ports are forwarded between networks. A trace that asks for it has a relay on every way between two processes; an act cuts ways, bytes on them are held, and they arrive late once the ways are whole. Ruled out: cutting inside the product, and rules of the machine's network.

--- a/hawthorntrack/daemon/process.py
+++ b/hawthorntrack/daemon/process.py
@@ -77,7 +77,11 @@
         context = zmq.asyncio.Context()
         self.context = context
         self.sender = BusSender(
-            context, codecs["msgpack"], self.me.incarnation, self.deliver_local
+            context,
+            codecs["msgpack"],
+            self.me.incarnation,
+            self.deliver_local,
+            settings.routes,
         )
         self.receiver = BusReceiver(
             context, codecs["msgpack"], self.me.incarnation, self.deliver
--- a/hawthorntrack/experiment/launcher.py
+++ b/hawthorntrack/experiment/launcher.py
@@ -22,6 +22,7 @@
     place_of,
     settings_body,
 )
+from hawthorntrack.experiment.relays import Relays
 from hawthorntrack.protocol.rows import document_key, write_document
 from hawthorntrack.state.table import Written
 from hawthorntrack.transport.table_client import HttpTable
@@ -46,6 +47,8 @@
         Placement policy of the document.
     changes : dict or None
         Settings to change from the layout's, in every process.
+    relayed : bool
+        Whether processes reach each other by lines that can be cut.
 
     Attributes
     ----------
@@ -59,6 +62,7 @@
         base_port: int,
         policy: str = "expected_finish",
         changes: dict[str, Any] | None = None,
+        relayed: bool = False,
     ) -> None:
         self.deployment = deployment
         self.ports = Ports(base_port)
@@ -67,6 +71,9 @@
         self.folder = Path(tempfile.mkdtemp(prefix="hawthorntrack-"))
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.session: aiohttp.ClientSession | None = None
+        names = [*self.guards(), *self.entries()] if relayed else []
+        addresses = {name: self.ports.bus(self.process_number(name)) for name in names}
+        self.relays = Relays(addresses, self.ports.relays())
         self.table = HttpTable(f"http://{self.ports.table()}", 2.0, 1_000, 1_000)
 
     # --- names and addresses
@@ -126,7 +133,7 @@
             self.ports,
             self.process_number(name),
             str(self.folder / f"{name}.log"),
-            self.changes,
+            {**self.changes, "routes": self.relays.routes(name)},
         )
         path = self.folder / f"{name}.yaml"
         path.write_text(yaml.safe_dump(body, sort_keys=False))
@@ -160,6 +167,7 @@
             timeout=aiohttp.ClientTimeout(total=70),
             connector=aiohttp.TCPConnector(limit=0),
         )
+        await self.relays.open()
         self.spawn_table()
         await self.reach("table", "/stats")
         body = document_body(self.deployment, self.policy)
@@ -295,6 +303,7 @@
             if process.poll() is None:
                 process.kill()
                 process.wait()
+        await self.relays.close()
         await self.table.close()
         if self.session is not None:
             await self.session.close()
--- a/hawthorntrack/experiment/layout.py
+++ b/hawthorntrack/experiment/layout.py
@@ -28,6 +28,10 @@
         """Return a process's HTTP address."""
         return f"{HOST}:{self.base + PORTS_PER_KIND + number}"
 
+    def relays(self) -> int:
+        """Return the first port of the lines between processes."""
+        return self.base + 3 * PORTS_PER_KIND
+
     def target(self, number: int) -> str:
         """Return a target's address."""
         return f"{HOST}:{self.base + 2 * PORTS_PER_KIND + number}"
--- a/hawthorntrack/experiment/replay.py
+++ b/hawthorntrack/experiment/replay.py
@@ -189,7 +189,9 @@
     deployment = deployments[trace.header["deployment"]]
     if "speeds" in trace.header:
         deployment = deployment._replace(speeds=tuple(trace.header["speeds"]))
-    return Fleet(deployment, base_port, policy, trace.header.get("settings"))
+    settings = trace.header.get("settings")
+    relayed = trace.header.get("relayed", False)
+    return Fleet(deployment, base_port, policy, settings, relayed)
 
 
 def increase(before: dict[str, float], after: dict[str, float]) -> dict[str, float]:
@@ -321,6 +323,19 @@
     replay.fleet.signal(process, signal.SIGCONT)
 
 
+@acts.register("cut")
+async def cut(replay: Replay, process: str, others: list[str]) -> None:
+    """Cut a process from others; bytes on their way are held, not lost."""
+    for other in others:
+        replay.fleet.relays.cut(process, other)
+
+
+@acts.register("heal")
+async def heal(replay: Replay) -> None:
+    """Make every line whole again."""
+    replay.fleet.relays.heal()
+
+
 @acts.register("restart")
 async def restart(replay: Replay, process: str) -> None:
     """Stop a daemon gracefully and start it anew."""
--- a/hawthorntrack/experiment/trace.py
+++ b/hawthorntrack/experiment/trace.py
@@ -23,6 +23,7 @@
     about: str
     settings: NotRequired[dict[str, Any]]
     speeds: NotRequired[list[float]]
+    relayed: NotRequired[bool]
 
 
 class Event(NamedTuple):
--- a/hawthorntrack/state/settings.py
+++ b/hawthorntrack/state/settings.py
@@ -69,6 +69,7 @@
     slots: NotRequired[Annotated[int, msgspec.Meta(ge=1, le=1_048_576)]]
     seed: NotRequired[int]
     log: NotRequired[str]
+    routes: NotRequired[dict[str, str]]
     timing: NotRequired[TimingBody]
     bounds: NotRequired[BoundsBody]
 
@@ -110,7 +111,14 @@
 
 
 class Settings(NamedTuple):
-    """Settings in force."""
+    """Settings in force.
+
+    Attributes
+    ----------
+    routes : dict of str to str
+        By which address this process reaches a peer's bus, where that is not the
+        peer's own: a port that is forwarded between networks, say.
+    """
 
     environment: str
     place: Place
@@ -123,6 +131,7 @@
     slots: int
     seed: int | None
     log: str
+    routes: dict[str, str]
     timing: Timing
     bounds: Bounds
 
@@ -205,6 +214,10 @@
             "is under three times beat_interval_ms",
             "Raise it, so that one lost heartbeat does not move slots.",
         )
+    routes = body.get("routes", {})
+    for peer, way in routes.items():
+        check_address(peer, source, "routes")
+        check_address(way, source, f"routes.{peer}")
     table = body["table"]
     table_timeout_s = table.get("timeout_ms", 1000) / 1000
     if timing.freshness_s < 2 * table_timeout_s + POLL_SLACK_S:
@@ -227,6 +240,7 @@
         slots=body.get("slots", 64),
         seed=body.get("seed"),
         log=body.get("log", "-"),
+        routes=routes,
         timing=timing,
         bounds=Bounds(**body.get("bounds", {})),
     )
--- a/hawthorntrack/state/tests/test_settings.py
+++ b/hawthorntrack/state/tests/test_settings.py
@@ -44,6 +44,7 @@
         ({"timing": {"pair_silence_ms": 300}}, "timing.pair_silence_ms", "three times"),
         ({"timing": {"freshness_ms": 1500}}, "timing.freshness_ms", "outage"),
         ({"slots": 0}, "slots", ">= 1"),
+        ({"routes": {"127.0.0.1:1": "far"}}, "routes.127.0.0.1:1", "IP number"),
     ],
 )
 def test_wrong_settings_name_path_and_remedy(body, change, path, words):
--- a/hawthorntrack/transport/bus.py
+++ b/hawthorntrack/transport/bus.py
@@ -3,7 +3,7 @@
 One task owns the listening socket, another all sockets towards peers.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple
 
 import zmq
@@ -55,7 +55,15 @@
 
 
 class BusSender(Actor):
-    """Owns the sockets towards peers."""
+    """Owns the sockets towards peers.
+
+    Parameters
+    ----------
+    local : callable
+        Delivers a message to this process itself.
+    routes : mapping of str to str
+        Other addresses by which peers are reached.
+    """
 
     def __init__(
         self,
@@ -63,12 +71,14 @@
         codec: Codec,
         me: Incarnation,
         local: Callable[[Incarnation, Any], None],
+        routes: Mapping[str, str],
     ) -> None:
         super().__init__()
         self.context = context
         self.codec = codec
         self.me = me
         self.local = local
+        self.routes = routes
         self.stamp = 0
         self.peers: dict[str, Peer] = {}
 
@@ -90,7 +100,8 @@
         address = message.to.address
         peer = self.peers.get(address)
         if peer is None:
-            peer = self.peers[address] = Peer(self.context, address, self.now())
+            route = self.routes.get(address, address)
+            peer = self.peers[address] = Peer(self.context, route, self.now())
         peer.used_at = self.now()
         data = self.codec.encode(Envelope(self.me, self.stamp, message.body))
         nonce = message.to.nonce.encode()
--- a/hawthorntrack/transport/tests/test_edges.py
+++ b/hawthorntrack/transport/tests/test_edges.py
@@ -156,7 +156,7 @@
         raw.send_multipart([b"", b"\xff garbage"])
         raw.send_multipart([b"one frame"])
         sender = BusSender(
-            context, codecs["msgpack"], Incarnation("127.0.0.1:1", "s"), print
+            context, codecs["msgpack"], Incarnation("127.0.0.1:1", "s"), print, {}
         )
         old_life = Incarnation(BUS, "life1")
         sender.handle(Outgoing(old_life, messages.Pending("old")))
