Carry on with what was taken in: sure messages, and answers that follow a slot

Causes, found by tests that failed first: - A full mailbox inside a process dropped whatever came. An admission or a job's end that was lost left the job hanging in the keeper until the entry's deadline. Tasks of one process now put in what carries on with something taken in before (there are no more of these than of those); only what comes from outside is posted and may be dropped. An offer or announcement that cannot be posted is refused instead of left without an answer. - Guards that left as planned took their answers along: a caller that submitted again during the move got "failed, owner_lost" for a job that was complete. An owner that hands a slot on now passes the answers that somebody may still wait for, and those of the jobs it still finishes; until it has, the next owner tells askers that the job is pending. While a slot is handed on no new key is let in for half a second: it would be noted, never admitted.

Ruled out: passing refusals on too, so that the next owner forgets a noted key. A late one could make it forget a key that was admitted since.

Also: a process of the fakes that fails is now dead and its error fails the test (an error in a task went unseen before); a frozen one keeps its own unread messages. Scenes that break without their mechanism: whole answers, own answers, numbered submissions, drain, passed answers, told by peers, sure messages. Two guards forgotten by mistake, told of it or not, start nothing twice.

--- a/hawthorntrack/coordination/control.py
+++ b/hawthorntrack/coordination/control.py
@@ -162,7 +162,7 @@
         """Read rows and post what came of it."""
         outcome = await self.table.read(prefix)
         found = outcome.rows if isinstance(outcome, Found) else None
-        self.mailbox.post(local.PollAnswered(subject, sent_at, found))
+        self.mailbox.put(local.PollAnswered(subject, sent_at, found))
 
     @handles(local.PollAnswered)
     def take_poll(self, answer: local.PollAnswered, sender: Incarnation) -> None:
@@ -218,7 +218,7 @@
             )
         self.view = view
         for mailbox in self.subscribers:
-            mailbox.post(local.ViewChanged(view))
+            mailbox.put(local.ViewChanged(view))
 
     # --- peers
 
@@ -257,7 +257,7 @@
     async def write_own(self, expect: int) -> None:
         """Write the registration and post what came of it."""
         outcome = await self.table.write(self.key, expect, rows.write_guard(self.me))
-        self.mailbox.post(local.Registered(outcome))
+        self.mailbox.put(local.Registered(outcome))
 
     @handles(local.Registered)
     def take_registered(self, done: local.Registered, sender: Incarnation) -> None:
--- a/hawthorntrack/coordination/keeper.py
+++ b/hawthorntrack/coordination/keeper.py
@@ -18,6 +18,7 @@
     KEY_CONFLICT,
     KEY_STORE_FULL,
     OWNER_LOST,
+    QUEUE_FULL,
     SLOT_MOVING,
     STALE_VIEW,
     UNKNOWN_JOB,
@@ -35,6 +36,8 @@
 DEFAULT_RETENTION_S = 600
 EXPIRE_INTERVAL_S = 5.0
 ALONE_AFTER_S = 2.0
+ANSWERS_AT_ONCE = 16
+HAND_ON_S = 0.5
 ENTRIES_BOUND = 4_096  # lives of entry instances whose newest submission is known
 RUNNING = Answer("running", "", "", "")
 
@@ -127,9 +130,13 @@
         """Join, answer, refuse, or offer a job to the runner."""
         if self.seen_before(sender, submit.sequence):
             BAD_INPUT.labels(edge="bus", reason="late_submission").inc()
+            self.send(sender, messages.Unheard(submit.request))
             return
         asker = Asker(sender, submit.request, submit.sequence)
         job = submit.job
+        if self.awaited(submit.slot, job.service, job.key):
+            self.send(sender, messages.Pending(submit.request))
+            return
         if not self.has_slot(submit.slot):
             self.reply(asker, refuse(SLOT_MOVING, "No such slot."))
             return
@@ -143,9 +150,11 @@
             self.reply(asker, refusal, slot)
             return
         token = next(self.numbers)
+        if not self.runner.post(local.Offer(token, slot.number, job)):
+            self.reply(asker, refuse(QUEUE_FULL), slot)
+            return
         self.jobs[token] = ActiveJob(job, slot.number, {asker: None})
         self.tokens[(job.service, job.key)] = token
-        self.runner.post(local.Offer(token, slot.number, job))
 
     def seen_before(self, entry: Incarnation, sequence: int) -> bool:
         """Return whether that submission, or a later one, was seen before."""
@@ -155,6 +164,29 @@
             del self.newest[next(iter(self.newest))]
         return sequence <= newest
 
+    def awaited(self, number: int, service: str, key: str) -> bool:
+        """Return whether a key's job may still run at the slot's owner before.
+
+        Explanation
+        -----------
+        An owner that hands its slot on finishes its jobs and passes their answers.
+        Until it has, or is gone, an asker waits for it.
+        """
+        slot = self.slots[number]
+        record = slot.keys.find(service, key)
+        document = self.view.documents.get(service)
+        if record is None or document is None or slot.predecessor is None:
+            return False
+        now = self.now()
+        heard_at = self.heard.get(slot.predecessor, 0.0)
+        return (
+            slot.state.phase == OPENED
+            and not record.ended
+            and not record.epoch
+            and now - record.noted_at <= document.max_ms / 1000
+            and now - heard_at <= self.settings.timing.pair_silence_s
+        )
+
     def join(self, token: int, job: JobSpec, asker: Asker) -> None:
         """Have one more asker wait for a job that is here already."""
         active = self.jobs[token]
@@ -167,9 +199,11 @@
         """Return the answer to a job that is not to be offered, or None."""
         if slot.state.phase != OPENED:
             return refuse(SLOT_MOVING)
+        record = slot.keys.find(job.service, job.key)
+        if record is None and self.handing_on(slot):
+            return refuse(SLOT_MOVING)
         if not self.view.fresh(self.now(), self.settings.timing.freshness_s):
             return refuse(STALE_VIEW)
-        record = slot.keys.find(job.service, job.key)
         if record is not None:
             return self.known(job, record)
         reset_ms = slot.state.row.reset_ms
@@ -184,6 +218,21 @@
             return refuse(KEY_STORE_FULL)
         return None
 
+    def handing_on(self, slot: Slot) -> bool:
+        """Return whether a slot's witness is about to take it over.
+
+        Explanation
+        -----------
+        A key noted just then would be known to the next owner, but never admitted.
+        Where nothing comes of it within `HAND_ON_S`, jobs are let in again.
+        """
+        heir, now = slot.heir, self.now()
+        return (
+            heir is not None
+            and heir.epoch == slot.state.epoch
+            and now - heir.asked_at < HAND_ON_S
+        )
+
     def known(self, job: JobSpec, record: KeyRecord) -> Answer:
         """Return the answer to a key that is remembered and not active."""
         if record.digest != job.digest:
@@ -201,7 +250,7 @@
         active = self.jobs.get(offered.token)
         if active is None:
             if offered.refusal is None:
-                self.runner.post(local.Withdraw(offered.token))
+                self.runner.put(local.Withdraw(offered.token))
         elif offered.refusal is not None:
             self.close(offered.token, offered.refusal)
         else:
@@ -218,7 +267,7 @@
             self.jobs[token] = active._replace(admitted=True)
             record = KeyRecord(job.digest, self.now(), slot.state.epoch)
             slot.keys.put(job.service, job.key, record)
-            self.runner.post(local.Admit(token))
+            self.runner.put(local.Admit(token))
 
     def refuse_pending(self, slot: Slot) -> None:
         """Refuse jobs of a slot that were not admitted; they never ran."""
@@ -228,16 +277,48 @@
             if active.slot == slot.number and not active.admitted
         ]
         for token in pending:
-            self.runner.post(local.Withdraw(token))
+            self.runner.put(local.Withdraw(token))
             self.close(token, refuse(SLOT_MOVING))
 
+    # --- answers that follow a slot
+
+    def pass_answers(self, slot: Slot) -> None:
+        """Pass on the answers that somebody may still be waiting for."""
+        now, found = self.now(), []
+        for (service, key), record in slot.keys.records.items():
+            document = self.view.documents.get(service)
+            answer = self.answers.find(service, key)
+            if document and answer and now - record.noted_at <= document.max_ms / 1000:
+                found.append(messages.KeyAnswer(service, key, answer))
+        self.pass_on(slot, found)
+
+    def pass_on(self, slot: Slot, found: list[messages.KeyAnswer]) -> None:
+        """Send answers to a slot's heir, a few in each message."""
+        if slot.heir is not None:
+            for begin in range(0, len(found), ANSWERS_AT_ONCE):
+                part = tuple(found[begin : begin + ANSWERS_AT_ONCE])
+                self.send(slot.heir.guard, messages.Answers(slot.number, part))
+
+    @handles(messages.Answers)
+    def take_answers(self, passed: messages.Answers, sender: Incarnation) -> None:
+        """Keep the answers of the owner before."""
+        if not self.has_slot(passed.slot):
+            return
+        slot = self.slots[passed.slot]
+        for service, key, answer in passed.answers:
+            record = slot.keys.find(service, key)
+            if record is not None and not record.epoch:
+                slot.keys.put(service, key, record._replace(ended=True))
+                self.answers.keep(service, key, answer, self.now())
+
     # --- the way out
 
     @handles(local.JobEnded)
     def end(self, ended: local.JobEnded, sender: Incarnation) -> None:
         """Keep the answer of an admitted job and give it to all who wait."""
         active = self.jobs[ended.token]
-        job, keys = active.job, self.slots[active.slot].keys
+        job, slot = active.job, self.slots[active.slot]
+        keys = slot.keys
         if ended.answer.status == "refused":
             # Nothing of it ran: the key may be used for another try.
             keys.drop(job.service, job.key)
@@ -245,6 +326,9 @@
             keys.put(job.service, job.key, record._replace(ended=True))
             self.answers.keep(job.service, job.key, ended.answer, self.now())
         self.close(ended.token, ended.answer)
+        if ended.answer.status != "refused":
+            answer = messages.KeyAnswer(job.service, job.key, ended.answer)
+            self.pass_on(slot, [answer])
 
     def close(self, token: int, answer: Answer) -> None:
         """Answer all askers of a job and drop it from the active ones."""
@@ -284,7 +368,8 @@
             return
         slot = self.slots[ask.slot]
         record = slot.keys.find(ask.service, ask.key)
-        if (ask.service, ask.key) in self.tokens:
+        active = (ask.service, ask.key) in self.tokens
+        if active or self.awaited(ask.slot, ask.service, ask.key):
             answer = RUNNING
         elif slot.state.phase != OPENED:
             answer = unknown(SLOT_MOVING)
@@ -304,9 +389,9 @@
         active = self.jobs[token]
         active.askers[Asker(sender, cancel.request)] = None
         if active.admitted:
-            self.runner.post(local.Cancel(token))
+            self.runner.put(local.Cancel(token))
         else:
-            self.runner.post(local.Withdraw(token))
+            self.runner.put(local.Withdraw(token))
             self.close(token, refuse(CANCELLED))
 
     # --- upkeep
@@ -329,7 +414,7 @@
         for phase in PHASES:
             SLOTS.labels(phase=phase).set(phases[phase])
         if self.draining and not self.jobs and self.may_leave(now):
-            self.drained.post(local.Drained(type(self).__name__))
+            self.drained.put(local.Drained(type(self).__name__))
 
     def expire(self, now: float) -> None:
         """Forget keys and answers past the retention."""
--- a/hawthorntrack/coordination/pairing.py
+++ b/hawthorntrack/coordination/pairing.py
@@ -61,6 +61,14 @@
     notes: tuple[KeyNote, ...]
 
 
+class Heir(NamedTuple):
+    """A witness that was asked to take a slot over, at which epoch and time."""
+
+    guard: Incarnation
+    epoch: int
+    asked_at: float
+
+
 class Slot:
     """One slot as this guard keeps it.
 
@@ -74,6 +82,10 @@
         Loop time at which an unanswered note or handover is sent again.
     paused_until : float
         Loop time before which no further claim is begun.
+    heir : Heir or None
+        The witness that this guard, as owner, asked to take the slot over.
+    predecessor : Incarnation or None
+        The owner that asked this guard, as witness, to take the slot over.
     """
 
     def __init__(self, number: int) -> None:
@@ -89,6 +101,8 @@
         self.resend_at = 0.0
         self.paused_until = 0.0
         self.reading = False
+        self.heir: Heir | None = None
+        self.predecessor: Incarnation | None = None
 
 
 class SlotPairing(Actor):
@@ -97,8 +111,8 @@
     Explanation
     -----------
     The decisions are those of `ownership` and `balance`; this task owns the key
-    sets, the clock and the wire around them. `admit_noted` and `refuse_pending`
-    are left to the subclass that holds the jobs.
+    sets, the clock and the wire around them. `admit_noted`, `refuse_pending` and
+    `pass_answers` are left to the subclass that holds the jobs.
 
     Parameters
     ----------
@@ -162,6 +176,10 @@
         """Refuse jobs whose keys the witness has not confirmed."""
         raise NotImplementedError
 
+    def pass_answers(self, slot: Slot) -> None:
+        """Pass the answers of a slot's jobs on to its heir."""
+        raise NotImplementedError
+
     # --- decisions and their commands
 
     def apply(self, slot: Slot, event: Any) -> None:
@@ -216,7 +234,7 @@
         slot.reading = False
         if isinstance(outcome, Found):
             rows = [read_slot(row) for row in outcome.rows]
-            self.mailbox.post(SlotObserved(slot.number, rows[0] if rows else None))
+            self.mailbox.put(SlotObserved(slot.number, rows[0] if rows else None))
 
     async def write_row(self, number: int, expect: int, row: SlotRow) -> None:
         """Write a slot's row and report what came of it."""
@@ -225,7 +243,7 @@
         if isinstance(outcome, Unsettled):
             RETRIES.labels(reason="table_write_unsettled").inc()
             await asyncio.sleep(REWRITE_S)
-        self.mailbox.post(local.WriteSettled(number, outcome))
+        self.mailbox.put(local.WriteSettled(number, outcome))
 
     @handles(local.WriteSettled)
     def settle_write(self, settled: local.WriteSettled, sender: Incarnation) -> None:
@@ -287,6 +305,7 @@
         """Claim a slot whose owner asks for it."""
         slot = self.slots[offer.slot]
         if (sender, offer.epoch) == (slot.state.peer, slot.state.epoch):
+            slot.predecessor = sender
             self.begin(Move(offer.slot, "yielded", self.successor(slot, sender)))
 
     def successor(self, slot: Slot, owner: Incarnation) -> Incarnation | None:
@@ -402,13 +421,19 @@
         CLAIMS.labels(reason=move.reason).inc()
         if move.witness is None:
             if slot.state.phase == OPENED:
-                self.send(
-                    slot.state.peer, messages.Yield(slot.number, slot.state.epoch)
-                )
+                self.hand_on(slot)
             return
         reset_ms = int(time.time() * 1000) if move.reset else 0
         self.apply(slot, own.Claim(move.witness, reset_ms))
 
+    def hand_on(self, slot: Slot) -> None:
+        """Ask the witness to take a slot over, and give it what it may be asked for."""
+        peer, epoch = slot.state.peer, slot.state.epoch
+        if slot.heir is None or slot.heir.epoch != epoch:
+            slot.heir = Heir(peer, epoch, self.now())
+            self.pass_answers(slot)
+        self.send(peer, messages.Yield(slot.number, epoch))
+
     def resend(self, slot: Slot) -> None:
         """Send a note or a handover again that had no answer."""
         if self.now() < slot.resend_at:
--- a/hawthorntrack/coordination/questions.py
+++ b/hawthorntrack/coordination/questions.py
@@ -121,7 +121,7 @@
             elif now >= question.send_at and owner not in (None, question.sent_to):
                 self.dispatch(question)
         if self.draining and not self.questions:
-            self.drained.post(local.Drained(type(self).__name__))
+            self.drained.put(local.Drained(type(self).__name__))
 
     @handles(local.Drain)
     def drain(self, drain: local.Drain, sender: Incarnation) -> None:
--- a/hawthorntrack/coordination/router.py
+++ b/hawthorntrack/coordination/router.py
@@ -240,7 +240,7 @@
             else:
                 self.watch(request, now)
         if self.draining and not self.requests:
-            self.drained.post(local.Drained(type(self).__name__))
+            self.drained.put(local.Drained(type(self).__name__))
 
     def run_out(self, request: Request) -> None:
         """Answer a request whose deadline has passed."""
--- a/hawthorntrack/coordination/tests/fakes.py
+++ b/hawthorntrack/coordination/tests/fakes.py
@@ -4,10 +4,11 @@
 import asyncio
 import random
 from collections import Counter
+from collections.abc import Callable
 from typing import Any
 
 from hawthorntrack.coordination.beats import Heartbeats
-from hawthorntrack.coordination.control import Control
+from hawthorntrack.coordination.control import Control, Replaced
 from hawthorntrack.coordination.executor import Executor
 from hawthorntrack.coordination.keeper import SlotKeeper
 from hawthorntrack.coordination.router import Router
@@ -20,7 +21,8 @@
 )
 from hawthorntrack.protocol import local, messages, rows
 from hawthorntrack.state.actor import Actor, Delivery, handles
-from hawthorntrack.state.mailbox import Mailbox, tick
+from hawthorntrack.state.mailbox import Mailbox, Tick, tick
+from hawthorntrack.state.outcomes import QUEUE_FULL, refuse
 from hawthorntrack.state.settings import Settings
 from hawthorntrack.state.table import MemoryTable, Unavailable, Unsettled
 from hawthorntrack.state.values import GuardInfo, Incarnation, JobSpec, Place
@@ -28,6 +30,7 @@
 DELAY_S = 0.002
 TICK_S = 0.1
 LATE_S = 3.0
+LEAVE_LIMIT_S = 20.0
 ZONE_OUT_BOUND_S = 3.0  # "a few seconds"
 TOLERANT = {
     messages.Submit,
@@ -105,8 +108,21 @@
         self.routes: dict[type, list[Mailbox]] = {}
         self.actors: list[Actor] = []
         self.running: list[asyncio.Task] = []
+        self.errors: list[BaseException] = []
+        self.drained = Mailbox("drained")
+        self.unread: list[tuple[Mailbox, Any]] = []
         self.held: list[tuple[Incarnation, int, Any]] | None = None
 
+    def holder(self, mailbox: Mailbox) -> Callable[[Any], bool]:
+        """Return what keeps a mailbox's messages, but for ticks, unread."""
+
+        def hold(message: Any) -> bool:
+            if not isinstance(message, Tick):
+                self.unread.append((mailbox, message))
+            return True
+
+        return hold
+
     def add(self, actor: Actor, kinds: tuple[type, ...]) -> Actor:
         """Add a task and the messages it gets."""
         self.actors.append(actor)
@@ -117,8 +133,20 @@
     def start(self) -> None:
         """Run the tasks."""
         for actor in self.actors:
-            self.running.append(asyncio.ensure_future(actor.run()))
-            self.running.append(asyncio.ensure_future(tick(actor.mailbox, TICK_S)))
+            self.run(actor.run())
+            self.run(tick(actor.mailbox, TICK_S))
+
+    def run(self, work: Any) -> None:
+        """Run one task; its failure ends the process."""
+        task = asyncio.ensure_future(work)
+        task.add_done_callback(self.settle)
+        self.running.append(task)
+
+    def settle(self, task: asyncio.Task) -> None:
+        """Keep what a task failed with, and end the others."""
+        if not task.cancelled() and task.exception():
+            self.errors.append(task.exception())
+            self.stop()
 
     def stop(self) -> None:
         """End the tasks at once, as a kill does."""
@@ -139,6 +167,7 @@
         self.nodes: dict[str, Node] = {}
         self.places = {f"g{n}": place for n, place in enumerate(places)}
         self.lives: Counter[str] = Counter()
+        self.jobs: dict[str, JobSpec] = {}
 
     # --- the bus
 
@@ -168,7 +197,7 @@
     ) -> None:
         """Give a message to a node of that life, or hold it while it is frozen."""
         node = self.nodes.get(to.address)
-        if node is None or node.info.incarnation != to:
+        if node is None or node.errors or node.info.incarnation != to:
             return
         if node.held is not None:
             node.held.append((sender, stamp, body))
@@ -193,7 +222,7 @@
         """Start a guard with its target."""
         node, send = self.new_node(name)
         info, settings = node.info, self.settings._replace(place=node.info.place)
-        drained = Mailbox("drained")
+        drained = node.drained
         beats = Heartbeats(info, settings, send)
         runner = JobRunner(info.incarnation, settings, send, self.rng)
         keeper = SlotKeeper(
@@ -210,7 +239,7 @@
         node.add(beats, ())
         node.add(target, ())
         node.start()
-        node.running.append(asyncio.ensure_future(self.announce(node, executor)))
+        node.run(self.announce(node, executor))
 
     def start_entry(self) -> Router:
         """Start the entry instance and return its router."""
@@ -256,21 +285,35 @@
         """End a guard at once."""
         self.nodes.pop(name).stop()
 
+    async def leave(self, name: str) -> None:
+        """Have a guard drain, and end it once it has or the limit is over."""
+        node, left = self.nodes[name], {"SlotKeeper", "Executor"}
+        for actor in node.actors:
+            actor.mailbox.put(local.Drain())
+        limit = asyncio.get_running_loop().time() + LEAVE_LIMIT_S
+        while left and asyncio.get_running_loop().time() < limit:
+            left.discard((await node.drained.get()).task)
+        await asyncio.sleep(10 * DELAY_S)
+        await self.control(name).deregister()
+        self.kill(name)
+
     def freeze(self, name: str) -> None:
         """Hold a guard's messages; its tasks and timers stand still."""
         node = self.nodes[name]
-        node.held = []
+        node.held, node.unread = [], []
         for actor in node.actors:
-            actor.mailbox.post = lambda message: True
+            actor.mailbox.post = actor.mailbox.put = node.holder(actor.mailbox)
 
     def resume(self, name: str) -> None:
         """Give a frozen guard all that came meanwhile, before any of its timers."""
         node = self.nodes[name]
         held, node.held = node.held, None
         for actor in node.actors:
-            del actor.mailbox.post
+            del actor.mailbox.post, actor.mailbox.put
         for sender, stamp, body in held:
             self.deliver(sender, stamp, node.info.incarnation, body)
+        for mailbox, message in node.unread:
+            mailbox.put(message)
 
     # --- what must always hold
 
@@ -279,6 +322,11 @@
         counts = Counter(name for name, _, _ in self.starts)
         return [name for name, count in counts.items() if count > 1]
 
+    def broken(self) -> list:
+        """Return what processes failed with, but for those told that they are gone."""
+        errors = [error for node in self.nodes.values() for error in node.errors]
+        return [error for error in errors if not isinstance(error, Replaced)]
+
     def started(self, key: str) -> bool:
         """Return whether any task of a job started."""
         return any(name[1] == key for name, _, _ in self.starts)
@@ -287,7 +335,8 @@
 def ask(router: Router, job: JobSpec) -> asyncio.Future:
     """Have a caller submit a job."""
     reply = asyncio.get_running_loop().create_future()
-    router.mailbox.post(local.Ask(job, reply))
+    if not router.mailbox.post(local.Ask(job, reply)):
+        reply.set_result(refuse(QUEUE_FULL))
     return reply
 
 
@@ -301,6 +350,7 @@
 def check(cluster, replies):
     """Assert what must always hold of jobs and their answers, by key."""
     assert cluster.double_starts() == []
+    assert cluster.broken() == []
     for key, answers in replies.items():
         assert all(reply.done() for reply in answers)
         results = [reply.result() for reply in answers]
@@ -308,6 +358,19 @@
             assert not cluster.started(key)
         for answer in results:
             assert (answer.status == "complete") == bool(answer.results)
+            if answer.results:
+                own = [task.input for task in cluster.jobs[key].tasks]
+                assert [item and item.output for item in answer.results] == own
+
+
+def job_of(make_job: Callable[..., JobSpec], key: str, tasks: int) -> JobSpec:
+    """Return a job of which every task's input, and so its output, is its own."""
+    job = make_job(key, tasks=tasks, deadline_ms=6_000)
+    inputs = [f'"{key}/{index}"'.encode() for index in range(tasks)]
+    specs = [
+        spec._replace(input=text) for spec, text in zip(job.tasks, inputs, strict=True)
+    ]
+    return job._replace(tasks=tuple(specs))
 
 
 async def load(cluster, router, make_job, jobs=40, gap_s=0.1, again_s=(0.0, 3.0)):
@@ -315,7 +378,8 @@
     replies = {}
     loop = asyncio.get_running_loop()
     for number in range(jobs):
-        job = make_job(f"k{number}", tasks=1 + number % 3, deadline_ms=6_000)
+        job = job_of(make_job, f"k{number}", 1 + number % 3)
+        cluster.jobs[job.key] = job
         replies[job.key] = [ask(router, job)]
         for wait_s in again_s:
             loop.call_later(wait_s, lambda j=job: replies[j.key].append(ask(router, j)))
--- a/hawthorntrack/coordination/tests/test_decisions.py
+++ b/hawthorntrack/coordination/tests/test_decisions.py
@@ -3,7 +3,8 @@
 import random
 
 import pytest
-from hypothesis import given
+from hypothesis import HealthCheck, given
+from hypothesis import settings as settings_of_search
 from hypothesis import strategies as st
 
 from hawthorntrack.coordination import health
@@ -30,7 +31,14 @@
 from hawthorntrack.state import uuid7
 from hawthorntrack.state.fleet import Fleet
 from hawthorntrack.state.hashing import rendezvous, slot_of
-from hawthorntrack.state.slots import CLAIMING, OPENED, WITNESS, SlotState
+from hawthorntrack.state.slots import (
+    CLAIMING,
+    FORMING,
+    IDLE,
+    OPENED,
+    WITNESS,
+    SlotState,
+)
 from hawthorntrack.state.targets import GuardView
 from hawthorntrack.state.values import (
     NOBODY,
@@ -349,6 +357,34 @@
     assert (move.reason, move.witness) == ("leaving", None)
 
 
+@settings_of_search(suppress_health_check=[HealthCheck.function_scoped_fixture])
+@given(
+    phase=st.sampled_from([IDLE, OPENED, WITNESS, FORMING]),
+    serving=st.sets(st.integers(1, 3)),
+    alive=st.sets(st.integers(1, 3)),
+    slot=st.integers(0, 63),
+)
+def test_draining_guard_takes_nothing_up_and_gives_all_away(
+    opened, around, infos, guards, phase, serving, alive, slot
+):
+    candidates = {infos[n].incarnation.address: infos[n] for n in serving}
+    draining = around._replace(
+        leaving=True,
+        candidates=candidates,
+        names=frozenset(candidates),
+        alive={guards[0], *(guards[n] for n in alive)},
+    )
+    move = plan_move(slot, opened._replace(phase=phase), draining)
+    if phase == IDLE:
+        assert move is None
+    elif phase == OPENED and 1 in serving & alive:
+        assert (move.reason, move.witness) == ("leaving", None)
+    elif phase == OPENED and serving - {1}:
+        assert move.witness in {guards[n] for n in serving - {1}}
+    if move is not None and move.witness is not None:
+        assert move.witness.address in candidates
+
+
 @pytest.mark.parametrize("lost", [1, 2])
 def test_slot_is_reset_only_when_the_table_shows_both_members_gone(
     opened, around, infos, guards, lost
--- a/hawthorntrack/coordination/tests/test_failures.py
+++ b/hawthorntrack/coordination/tests/test_failures.py
@@ -174,3 +174,24 @@
         await stop(made)
 
     run(scene())
+
+
+@pytest.mark.parametrize("deaf", [False, True])
+def test_pair_that_an_operator_forgot_by_mistake_starts_nothing_twice(
+    run, cluster, make_job, deaf
+):
+    async def scene():
+        made, router = await cluster()
+        loading = asyncio.ensure_future(load(made, router, make_job, jobs=80))
+        await asyncio.sleep(1)
+        row = router.owners.rows[0]
+        for member in (row.owner, row.witness):
+            if deaf:
+                made.control(member.address).poll = lambda subject: None
+            key = rows.guard_key("production", member.address)
+            (found,) = (await made.table.read(key)).rows
+            await made.table.write(key, found.version, None)
+        check(made, await settle(await loading))
+        await stop(made)
+
+    run(scene())
--- a/hawthorntrack/coordination/tests/test_keeper.py
+++ b/hawthorntrack/coordination/tests/test_keeper.py
@@ -277,13 +277,16 @@
     run(scene())
 
 
-def test_doubled_submission_is_not_let_in_after_its_refusal(run, keeper, make_job):
+def test_doubled_submission_is_not_let_in_after_its_refusal(
+    run, keeper, wire, make_job
+):
     async def scene():
         made, job = keeper(), make_job()
         sequence = next(SEQUENCES)
         token = submit(made, job, sequence=sequence)[0].token
         tell(made, local.Offered(token, 0, refuse(CUSTOMER_LIMIT)))
         assert submit(made, job, sequence=sequence) == []
+        assert wire.take(messages.Unheard) == [messages.Unheard("1")]
         assert len(submit(made, job, OTHER_ENTRY, sequence=sequence)) == 1
         assert len(submit(made, job)) == 0
 
--- a/hawthorntrack/coordination/tests/test_mechanisms.py
+++ b/hawthorntrack/coordination/tests/test_mechanisms.py
@@ -1,23 +1,33 @@
 """Each mechanism is needed: without it, the scene that it is meant for breaks."""
 
 import asyncio
+import itertools
+import random
 
 import pytest
 
+from hawthorntrack.coordination.control import Control
 from hawthorntrack.coordination.executor import Executor
+from hawthorntrack.coordination.keeper import SlotKeeper
 from hawthorntrack.coordination.pairing import SlotPairing
+from hawthorntrack.coordination.router import Router
+from hawthorntrack.coordination.runner import JobRunner
 from hawthorntrack.coordination.tests.fakes import (
+    Cluster,
     check,
     load,
     settle,
     starts_after_zone_out,
     stop,
 )
-from hawthorntrack.protocol import rows
+from hawthorntrack.experiment.layout import deployments, document_body
+from hawthorntrack.protocol import local, rows
 from hawthorntrack.state.control import ControlView
+from hawthorntrack.state.mailbox import Mailbox
 from hawthorntrack.state.registry import Registry
 from hawthorntrack.state.started import StartMemory
 from hawthorntrack.state.table import ABSENT
+from hawthorntrack.state.values import Answer
 
 removals = Registry("removed mechanism")
 
@@ -50,6 +60,131 @@
     patch.setattr(ControlView, "fresh", lambda self, now, freshness_s: True)
 
 
+@removals.register("whole answers")
+def end_on_the_first_result(patch):
+    """Answer a job as soon as one of its tasks has a result."""
+    take = JobRunner.take_result
+
+    def take_and_end(self, job, guard, result):
+        take(self, job, guard, result)
+        found = tuple(task.result for task in job.tasks if task.result)
+        self.end(job, Answer("complete", "", "yes", "", found))
+        job.unfinished = -1
+
+    patch.setattr(JobRunner, "take_result", take_and_end)
+
+
+@removals.register("own answers")
+def answer_the_oldest(patch):
+    """Give an answer to whichever caller waits longest."""
+    finish = Router.finish
+
+    def finish_oldest(self, request, answer):
+        finish(self, next(iter(self.requests.values())), answer)
+
+    patch.setattr(Router, "finish", finish_oldest)
+
+
+@removals.register("numbered submissions")
+def let_any_submission_in(patch):
+    """Let a submission in that was refused before."""
+    patch.setattr(SlotKeeper, "seen_before", lambda self, entry, sequence: False)
+
+
+@removals.register("drain")
+def stop_at_once(patch):
+    """End a guard without draining it."""
+
+    async def leave(self, name):
+        self.kill(name)
+
+    patch.setattr(Cluster, "leave", leave)
+
+
+@removals.register("passed answers")
+def keep_answers_to_itself(patch):
+    """Hand slots on without the answers of their jobs."""
+    patch.setattr(SlotKeeper, "pass_on", lambda self, slot, found: None)
+
+
+@removals.register("told by peers")
+def ask_no_peer(patch):
+    """Ignore what peers' messages say of newer configuration."""
+    patch.setitem(Control.handlers, local.StampSeen, lambda self, seen, sender: None)
+
+
+@removals.register("sure messages")
+def put_as_posted(patch):
+    """Let a full mailbox drop a message that carries on with something taken in."""
+    patch.setattr(Mailbox, "put", lambda self, message: self.post(message))
+
+
+async def plain_load(made, router, make_job):
+    """Jobs overlap, nothing fails."""
+    check(made, await settle(await load(made, router, make_job, gap_s=0.03)))
+
+
+async def doubled_after_a_refusal(made, router, make_job):
+    """A customer is over its quota while messages come twice and late."""
+    body = document_body(deployments["jardim"])
+    body["customers"]["jardim"]["max_tasks"] = 8
+    key = rows.document_key("production", "visits")
+    (row,) = (await made.table.read(key)).rows
+    await made.table.write(key, row.version, rows.write_document(2, body))
+    await asyncio.sleep(3)
+    made.doubled = 0.5
+    loading = load(made, router, make_job, jobs=60, gap_s=0.01, again_s=())
+    check(made, await settle(await loading))
+
+
+async def mailboxes_full_at_times(made, router, make_job):
+    """Every mailbox drops one of ten messages that are posted to it."""
+    rng = random.Random(5)
+    nodes = made.nodes.values()
+    actors = [actor for node in nodes for actor in node.actors]
+    for actor in actors:
+        whole = actor.mailbox.post
+        actor.mailbox.post = lambda m, whole=whole: rng.random() > 0.1 and whole(m)
+    check(made, await settle(await load(made, router, make_job)))
+    assert [actor.jobs for actor in actors if getattr(actor, "jobs", None)] == []
+
+
+async def guards_leave_in_turn(made, router, make_job):
+    """Two guards stop as planned, and callers submit again meanwhile."""
+    loading = asyncio.ensure_future(load(made, router, make_job, jobs=120))
+    for name in ("g1", "g2"):
+        await made.leave(name)
+        made.start_guard(name)
+        await asyncio.sleep(2)
+    replies = await settle(await loading)
+    check(made, replies)
+    answers = itertools.chain.from_iterable(replies.values())
+    assert {reply.result().status for reply in answers} == {"complete"}
+
+
+async def guard_leaves(made, router, make_job):
+    """A guard with running tasks stops as planned."""
+    loading = asyncio.ensure_future(
+        load(made, router, make_job, jobs=60, gap_s=0.03, again_s=())
+    )
+    await asyncio.sleep(1)
+    await made.leave("g1")
+    replies = await settle(await loading)
+    assert {reply.result().status for (reply,) in replies.values()} == {"complete"}
+
+
+async def zone_out_seen_by_one(made, router, make_job):
+    """One guard alone reads the table's news."""
+    for name in made.nodes:
+        if name != "g0":
+            made.control(name).poll = lambda subject: None
+    key = rows.zones_key("production")
+    await made.table.write(key, ABSENT, rows.write_zones(["olinda"]))
+    await load(made, router, make_job, jobs=5, gap_s=1.0, again_s=())
+    told = [made.control(name).view.zones_out for name in made.nodes]
+    assert told == [frozenset({"olinda"})] * len(told)
+
+
 async def owner_killed(made, router, make_job):
     """An owner dies, and its callers submit again."""
     loading = asyncio.ensure_future(load(made, router, make_job, again_s=(2.5, 4.0)))
@@ -100,6 +235,13 @@
     "start memory": messages_doubled_and_late,
     "promise not to start": messages_doubled_and_late,
     "freshness": zone_out_while_frozen,
+    "whole answers": plain_load,
+    "own answers": plain_load,
+    "numbered submissions": doubled_after_a_refusal,
+    "drain": guard_leaves,
+    "passed answers": guards_leave_in_turn,
+    "sure messages": mailboxes_full_at_times,
+    "told by peers": zone_out_seen_by_one,
 }
 
 
--- a/hawthorntrack/daemon/guard.py
+++ b/hawthorntrack/daemon/guard.py
@@ -94,6 +94,7 @@
     messages.Handover,
     messages.HandoverTaken,
     messages.Yield,
+    messages.Answers,
 )
 RUNNER_MESSAGES = (messages.Beat, messages.Grant, messages.Done, messages.NotRun)
 EXECUTOR_MESSAGES = (
--- a/hawthorntrack/daemon/process.py
+++ b/hawthorntrack/daemon/process.py
@@ -175,7 +175,7 @@
         self.readiness.set(False, "draining")
         log_message("process:draining", process=str(self.me.incarnation))
         for actor in (self.control, *told, *drainers):
-            actor.mailbox.post(local.Drain())
+            actor.mailbox.put(local.Drain())
         left = await self.drain(stop, {type(actor).__name__ for actor in drainers})
         await server.stop()
         await asyncio.sleep(FLUSH_S)
@@ -226,12 +226,11 @@
         self.mailbox = mailbox
         self.stamp = 0
 
-    def post(self, change: local.ViewChanged) -> bool:
-        """Post the stamp, if it changed."""
-        if change.view.stamp == self.stamp:
-            return True
-        self.stamp = change.view.stamp
-        return self.mailbox.post(StampChanged(self.stamp))
+    def put(self, change: local.ViewChanged) -> None:
+        """Put in the stamp, if it changed."""
+        if change.view.stamp != self.stamp:
+            self.stamp = change.view.stamp
+            self.mailbox.put(StampChanged(self.stamp))
 
 
 def begin_log(path: str) -> None:
--- a/hawthorntrack/protocol/messages.py
+++ b/hawthorntrack/protocol/messages.py
@@ -199,6 +199,22 @@
     epoch: int
 
 
+class KeyAnswer(NamedTuple):
+    """The answer of a job that was admitted."""
+
+    service: str
+    key: str
+    answer: Answer
+
+
+@message("answers")
+class Answers(NamedTuple):
+    """An owner that hands its slot on passes answers to the next one."""
+
+    slot: int
+    answers: tuple[KeyAnswer, ...]
+
+
 @message("reserve")
 class Reserve(NamedTuple):
     """An owner asks a guard for permits to start tasks.
--- a/hawthorntrack/state/actor.py
+++ b/hawthorntrack/state/actor.py
@@ -83,7 +83,7 @@
         """Pass the failure of spawned work on to the task."""
         self.spawned.discard(task)
         if not task.cancelled() and task.exception():
-            self.mailbox.queue.put_nowait(Failed(task.exception()))
+            self.mailbox.put(Failed(task.exception()))
 
     async def run(self) -> None:
         """Handle messages for ever."""
--- a/hawthorntrack/transport/announcements.py
+++ b/hawthorntrack/transport/announcements.py
@@ -8,8 +8,8 @@
 from hawthorntrack.protocol import local
 from hawthorntrack.protocol.bodies import BadBody, read_announcement
 from hawthorntrack.state.mailbox import Mailbox
-from hawthorntrack.state.outcomes import BAD_REQUEST, refuse
-from hawthorntrack.transport.web import JSON_TYPE, bad, read_body
+from hawthorntrack.state.outcomes import BAD_REQUEST, QUEUE_FULL, refuse
+from hawthorntrack.transport.web import JSON_TYPE, bad, read_body, respond
 
 
 class AnnouncementsApi:
@@ -38,7 +38,8 @@
         except BadBody as error:
             return bad(error.reason, refuse(BAD_REQUEST, str(error)))
         reply = asyncio.get_running_loop().create_future()
-        self.executor.post(local.Announced(announcement, reply))
+        if not self.executor.post(local.Announced(announcement, reply)):
+            return respond("", refuse(QUEUE_FULL))
         problem = await reply
         status = 200 if problem is None else 409
         text = {"taken": problem is None, "message": problem or ""}
--- a/hawthorntrack/transport/target_client.py
+++ b/hawthorntrack/transport/target_client.py
@@ -79,7 +79,7 @@
         finally:
             self.calls.pop(task.name, None)
         run_ms = (self.now() - begun) * 1000
-        self.answers.post(TargetAnswered(task.name, ok, output, run_ms, spoiled))
+        self.answers.put(TargetAnswered(task.name, ok, output, run_ms, spoiled))
 
     async def post(self, task: RunTask) -> tuple[bool, bytes, bool]:
         """Return whether it completed, its output, and whether to blame the target."""
