Turn connections beyond the bound away in the shape of what they asked

Cause: no test opened more connections than the bound. One that does showed that a question (GET, DELETE) was answered "refused", ran "no", which is not known there, and that the connection stayed open.

Change: a question is answered "unknown", ran "maybe"; the connection closes; the refusal is counted. A refusal for draining that nothing used is gone.

Also: the peaceful traces of each deployment run on one fleet in one test, with the frozen entry among them; the trace of cut links runs with those that harm.

--- a/hawthorntrack/experiment/tests/test_processes.py
+++ b/hawthorntrack/experiment/tests/test_processes.py
@@ -23,18 +23,21 @@
     "guard_frozen",
     "store_outage",
     "rolling_restart",
-    "bookings",
-)
-PEACEFUL = (
-    "burst",
-    "cancel_wave",
-    "sizes_off",
-    "black_hole",
-    "stragglers",
-    "impossible",
-    "resubmissions",
-    "zone_leaves",
+    "links_cut",
 )
+PEACEFUL = {
+    "jardim": (
+        "burst",
+        "cancel_wave",
+        "sizes_off",
+        "black_hole",
+        "stragglers",
+        "impossible",
+        "resubmissions",
+        "zone_leaves",
+    ),
+    "liegewerk": ("bookings", "entry_frozen"),
+}
 
 pytestmark = pytest.mark.timeout(240)
 
@@ -46,31 +49,21 @@
     assert problems_of(replay, run) == []
 
 
-@pytest.fixture(scope="module")
-def results():
-    """Replay the traces that harm no process in turn, on one deployment."""
-
+@pytest.mark.parametrize("deployment", PEACEFUL)
+def test_traces_in_turn_on_a_running_deployment_end_as_stated(deployment):
     async def replay_all():
-        fleet = Fleet(deployments["jardim"], BASE_PORT + 2_000)
+        fleet = Fleet(deployments[deployment], BASE_PORT + 2_000)
         problems = {}
         try:
             await fleet.start()
-            for name in PEACEFUL:
+            for name in PEACEFUL[deployment]:
                 trace = read_trace(TRACES / f"{name}.jsonl")
                 replay = Replay(trace, fleet=fleet)
                 problems[name] = problems_of(replay, await replay.measure())
             codes = await fleet.stop()
         finally:
             await fleet.close()
-        return problems, codes
-
-    return asyncio.run(replay_all())
-
-
-@pytest.mark.parametrize("name", PEACEFUL)
-def test_trace_on_a_running_deployment_ends_as_stated(results, name):
-    assert results[0][name] == []
-
+        return problems, set(codes.values())
 
-def test_whole_deployment_stops_with_code_0(results):
-    assert set(results[1].values()) == {0}
+    clean = {name: [] for name in PEACEFUL[deployment]}
+    assert asyncio.run(replay_all()) == (clean, {0})
--- a/hawthorntrack/transport/tests/test_edges.py
+++ b/hawthorntrack/transport/tests/test_edges.py
@@ -184,9 +184,9 @@
 def entry(settings):
     """Return a function that opens a callers' interface with a router of ours."""
 
-    async def open_entry():
+    async def open_entry(**changes):
         router = Mailbox("router")
-        bounds = settings.bounds._replace(body_bytes=2_000)
+        bounds = settings.bounds._replace(body_bytes=2_000, **changes)
         api = CallersApi(router, Mailbox("questioner"), bounds)
         server = WebServer(
             settings._replace(http=HTTP, bounds=bounds),
@@ -236,6 +236,38 @@
     run_real(scene())
 
 
+@pytest.mark.parametrize(
+    ("method", "status", "ran"),
+    [("POST", "refused", "no"), ("GET", "unknown", "maybe")],
+)
+def test_connections_beyond_the_bound_are_turned_away(entry, method, status, ran):
+    async def scene():
+        router, server = await entry(connections=2)
+        idle = [await asyncio.open_connection(*HTTP.split(":")) for _ in range(2)]
+        while len(server.runner.server.connections) < 2:
+            await asyncio.sleep(0.01)
+        url = URL if method == "POST" else f"{URL}/k"
+        async with aiohttp.ClientSession() as session:
+            async with session.request(method, url, headers=HEADERS) as response:
+                body = await response.json()
+            assert (response.status, response.headers["Connection"]) == (503, "close")
+            assert (body["kind"], body["status"], body["ran"]) == (
+                "queue_full",
+                status,
+                ran,
+            )
+            for _, writer in idle:
+                writer.close()
+            while server.runner.server.connections:
+                await asyncio.sleep(0.01)
+            async with session.get(f"http://{HTTP}/healthz") as response:
+                assert response.status == 200
+        assert router.queue.empty()
+        await server.stop()
+
+    run_real(scene())
+
+
 def test_slow_body_is_refused_and_holds_up_nobody(entry, monkeypatch):
     monkeypatch.setattr(web_module, "BODY_TIMEOUT_S", 0.2)
 
--- a/hawthorntrack/transport/web.py
+++ b/hawthorntrack/transport/web.py
@@ -14,10 +14,10 @@
 from hawthorntrack.state.outcomes import (
     BAD_REQUEST,
     BODY_TOO_LARGE,
-    DRAINING,
     QUEUE_FULL,
     kinds,
     refuse,
+    unknown,
 )
 from hawthorntrack.state.settings import Settings
 from hawthorntrack.state.values import Answer
@@ -88,7 +88,12 @@
         """Refuse what is beyond the bounds, in the shape of every refusal."""
         connections = len(self.runner.server.connections)
         if connections > self.settings.bounds.connections:
-            return respond("", refuse(QUEUE_FULL, "Too many connections."))
+            REFUSALS.labels(kind=QUEUE_FULL.name).inc()
+            asked = request.method != "POST"
+            answer = unknown(QUEUE_FULL) if asked else refuse(QUEUE_FULL)
+            response = respond("", answer)
+            response.force_close()
+            return response
         try:
             return await handler(request)
         except web.HTTPRequestEntityTooLarge:
@@ -171,9 +176,3 @@
     BAD_INPUT.labels(edge="http", reason=reason).inc()
     REFUSALS.labels(kind=answer.kind).inc()
     return respond("", answer, status)
-
-
-def draining() -> web.Response:
-    """Return the refusal of a process that is stopping."""
-    REFUSALS.labels(kind=DRAINING.name).inc()
-    return respond("", refuse(DRAINING))
