Refuse a submission for a slot that is not there, and a conflict, as before

Cause: found in a reading. The question whether a job still runs at the slot's owner before came ahead of two checks: a submission with a wrong slot number ended the guard with an IndexError, and another body under the same key was told to wait instead of refused as a conflict.

Change: that question comes after them.

--- a/hawthorntrack/coordination/keeper.py
+++ b/hawthorntrack/coordination/keeper.py
@@ -10,7 +10,7 @@
 from hawthorntrack.state.answers import AnswerStore
 from hawthorntrack.state.keys import KeyNote, KeyRecord
 from hawthorntrack.state.mailbox import Mailbox, Tick
-from hawthorntrack.state.metrics import BAD_INPUT, KEYS, REFUSALS, SLOTS
+from hawthorntrack.state.metrics import BAD_INPUT, KEYS, REFUSALS, SLOTS, labelled
 from hawthorntrack.state.outcomes import (
     ANSWER_DROPPED,
     CANCELLED,
@@ -134,9 +134,6 @@
             return
         asker = Asker(sender, submit.request, submit.sequence)
         job = submit.job
-        if self.awaited(submit.slot, job.service, job.key):
-            self.send(sender, messages.Pending(submit.request))
-            return
         if not self.has_slot(submit.slot):
             self.reply(asker, refuse(SLOT_MOVING, "No such slot."))
             return
@@ -145,6 +142,10 @@
         if token is not None:
             self.join(token, job, asker)
             return
+        record = self.awaited(slot, job.service, job.key)
+        if record is not None and record.digest == job.digest:
+            self.send(sender, messages.Pending(submit.request))
+            return
         refusal = self.unfit(slot, job)
         if refusal is not None:
             self.reply(asker, refusal, slot)
@@ -164,28 +165,28 @@
             del self.newest[next(iter(self.newest))]
         return sequence <= newest
 
-    def awaited(self, number: int, service: str, key: str) -> bool:
-        """Return whether a key's job may still run at the slot's owner before.
+    def awaited(self, slot: Slot, service: str, key: str) -> KeyRecord | None:
+        """Return the record of a key whose job may run at the slot's owner before.
 
         Explanation
         -----------
         An owner that hands its slot on finishes its jobs and passes their answers.
         Until it has, or is gone, an asker waits for it.
         """
-        slot = self.slots[number]
         record = slot.keys.find(service, key)
         document = self.view.documents.get(service)
         if record is None or document is None or slot.predecessor is None:
-            return False
+            return None
         now = self.now()
         heard_at = self.heard.get(slot.predecessor, 0.0)
-        return (
+        may_run = (
             slot.state.phase == OPENED
             and not record.ended
             and not record.epoch
             and now - record.noted_at <= document.max_ms / 1000
             and now - heard_at <= self.settings.timing.pair_silence_s
         )
+        return record if may_run else None
 
     def join(self, token: int, job: JobSpec, asker: Asker) -> None:
         """Have one more asker wait for a job that is here already."""
@@ -369,7 +370,7 @@
         slot = self.slots[ask.slot]
         record = slot.keys.find(ask.service, ask.key)
         active = (ask.service, ask.key) in self.tokens
-        if active or self.awaited(ask.slot, ask.service, ask.key):
+        if active or self.awaited(slot, ask.service, ask.key):
             answer = RUNNING
         elif slot.state.phase != OPENED:
             answer = unknown(SLOT_MOVING)
@@ -412,7 +413,7 @@
         phases = Counter(slot.state.phase for slot in self.held.values())
         phases[IDLE] = len(self.slots) - len(self.held)
         for phase in PHASES:
-            SLOTS.labels(phase=phase).set(phases[phase])
+            labelled(SLOTS, phase).set(phases[phase])
         if self.draining and not self.jobs and self.may_leave(now):
             self.drained.put(local.Drained(type(self).__name__))
 
--- a/hawthorntrack/coordination/tests/test_keeper.py
+++ b/hawthorntrack/coordination/tests/test_keeper.py
@@ -306,3 +306,40 @@
         assert len(submit(made, job)) == 1
 
     run(scene())
+
+
+@pytest.mark.parametrize("slot", [-1, 4, 10**9])
+def test_submission_for_a_slot_that_is_not_there_is_refused(
+    run, keeper, wire, make_job, slot
+):
+    async def scene():
+        made = keeper()
+        submission = messages.Submit("1", next(SEQUENCES), slot, make_job())
+        tell(made, submission, ENTRY)
+        ((_, _, answer),) = answers(wire)
+        assert (answer.status, answer.kind) == ("refused", "slot_moving")
+
+    run(scene())
+
+
+@pytest.mark.parametrize(("digest", "status"), [(b"d", None), (b"other", "refused")])
+def test_job_at_the_owner_before_is_waited_for(
+    run, keeper, wire, guards, make_job, digest, status
+):
+    async def scene():
+        made, job = keeper(), make_job()
+        made.slots[0].predecessor = guards[1]
+        made.heard[guards[1]] = made.now()
+        made.slots[0].keys.note(job.service, job.key, b"d", made.now())
+        assert submit(made, job._replace(digest=digest)) == []
+        found = [answer.status for _, _, answer in answers(wire)]
+        assert found == ([status] if status else [])
+        assert bool(wire.take(messages.Pending)) == (status is None)
+        passed = messages.KeyAnswer(
+            job.service, job.key, Answer("complete", "", "yes", "")
+        )
+        tell(made, messages.Answers(0, (passed,)), guards[1])
+        submit(made, job)
+        assert [answer.status for _, _, answer in answers(wire)] == ["complete"]
+
+    run(scene())
