Let submissions wait at the owner while their slot is handed on

Change: the owner keeps them, and refuses them once when the slot has moved (the refusal carries the new row), or lets them in when nobody took it.

Shown: tests of the keeper, 26 passed, two of them new.

--- a/hawthorntrack/coordination/keeper.py
+++ b/hawthorntrack/coordination/keeper.py
@@ -38,6 +38,7 @@
 ALONE_AFTER_S = 2.0
 ANSWERS_AT_ONCE = 16
 HAND_ON_S = 0.5
+PARKED_BOUND = 1_000  # submissions that wait for a slot to move
 ENTRIES_BOUND = 4_096  # lives of entry instances whose newest submission is known
 RUNNING = Answer("running", "", "", "")
 
@@ -120,6 +121,7 @@
         self.tokens: dict[tuple[str, str], int] = {}
         self.numbers = itertools.count(1)
         self.newest: dict[Incarnation, int] = {}
+        self.parked: list[tuple[messages.Submit, Incarnation]] = []
         self.answers = AnswerStore()
         self.expired_at = 0.0
 
@@ -127,11 +129,15 @@
 
     @handles(messages.Submit)
     def submit(self, submit: messages.Submit, sender: Incarnation) -> None:
-        """Join, answer, refuse, or offer a job to the runner."""
+        """Take a submission that is newer than all from its entry instance."""
         if self.seen_before(sender, submit.sequence):
             BAD_INPUT.labels(edge="bus", reason="late_submission").inc()
             self.send(sender, messages.Unheard(submit.request))
-            return
+        else:
+            self.let_in(submit, sender)
+
+    def let_in(self, submit: messages.Submit, sender: Incarnation) -> None:
+        """Join, answer, refuse, or offer a job; let it wait while its slot moves."""
         asker = Asker(sender, submit.request, submit.sequence)
         job = submit.job
         if not self.has_slot(submit.slot):
@@ -146,6 +152,10 @@
         if record is not None and record.digest == job.digest:
             self.send(sender, messages.Pending(submit.request))
             return
+        known = slot.keys.find(job.service, job.key) is not None
+        if not known and self.handing_on(slot) and len(self.parked) < PARKED_BOUND:
+            self.parked.append((submit, sender))
+            return
         refusal = self.unfit(slot, job)
         if refusal is not None:
             self.reply(asker, refusal, slot)
@@ -200,11 +210,9 @@
         """Return the answer to a job that is not to be offered, or None."""
         if slot.state.phase != OPENED:
             return refuse(SLOT_MOVING)
-        record = slot.keys.find(job.service, job.key)
-        if record is None and self.handing_on(slot):
-            return refuse(SLOT_MOVING)
         if not self.view.fresh(self.now(), self.settings.timing.freshness_s):
             return refuse(STALE_VIEW)
+        record = slot.keys.find(job.service, job.key)
         if record is not None:
             return self.known(job, record)
         reset_ms = slot.state.row.reset_ms
@@ -219,6 +227,12 @@
             return refuse(KEY_STORE_FULL)
         return None
 
+    def unpark(self) -> None:
+        """Look again at submissions that wait for a slot to move."""
+        parked, self.parked = self.parked, []
+        for submit, sender in parked:
+            self.let_in(submit, sender)
+
     def handing_on(self, slot: Slot) -> bool:
         """Return whether a slot's witness is about to take it over.
 
@@ -229,7 +243,8 @@
         """
         heir, now = slot.heir, self.now()
         return (
-            heir is not None
+            slot.state.phase == OPENED
+            and heir is not None
             and heir.epoch == slot.state.epoch
             and now - heir.asked_at < HAND_ON_S
         )
@@ -280,6 +295,7 @@
         for token in pending:
             self.runner.put(local.Withdraw(token))
             self.close(token, refuse(SLOT_MOVING))
+        self.unpark()
 
     # --- answers that follow a slot
 
@@ -406,6 +422,7 @@
     def keep_up(self, tick: Tick, sender: Incarnation) -> None:
         """Look after the slots, forget old keys, and report."""
         self.look_after(tick, sender)
+        self.unpark()
         now = self.now()
         if now - self.expired_at >= EXPIRE_INTERVAL_S:
             self.expired_at = now
--- a/hawthorntrack/coordination/tests/test_keeper.py
+++ b/hawthorntrack/coordination/tests/test_keeper.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from hawthorntrack.coordination import ownership as own
 from hawthorntrack.coordination.keeper import SlotKeeper
 from hawthorntrack.coordination.tests.conftest import posted, show_view, tell, tick
 from hawthorntrack.protocol import local, messages
@@ -343,3 +344,33 @@
         assert [answer.status for _, _, answer in answers(wire)] == ["complete"]
 
     run(scene())
+
+
+def test_new_key_waits_while_its_slot_is_handed_on(run, keeper, wire, guards, make_job):
+    async def scene():
+        made = keeper()
+        slot = made.slots[0]
+        made.hand_on(slot)
+        assert wire.take(messages.Yield) == [messages.Yield(0, 1)]
+        assert submit(made, make_job()) == []
+        assert answers(wire) == []
+        row = slot.state.row._replace(
+            epoch=2, owner=guards[1], witness=guards[2], version=3
+        )
+        made.apply(slot, own.Observe(row))
+        ((_, _, answer),) = answers(wire)
+        assert (answer.status, answer.kind) == ("refused", "slot_moving")
+
+    run(scene())
+
+
+def test_new_key_is_let_in_where_nobody_takes_the_slot(run, keeper, make_job):
+    async def scene():
+        made = keeper()
+        made.hand_on(made.slots[0])
+        assert submit(made, make_job()) == []
+        await asyncio.sleep(0.6)
+        made.unpark()
+        assert len(posted(made.runner, local.Offer)) == 1
+
+    run(scene())
