--- a/hawthorntrack/coordination/keeper.py
+++ b/hawthorntrack/coordination/keeper.py
@@ -121,7 +121,7 @@
         self.tokens: dict[tuple[str, str], int] = {}
         self.numbers = itertools.count(1)
         self.newest: dict[Incarnation, int] = {}
-        self.parked: list[tuple[messages.Submit, Incarnation]] = []
+        self.parked: dict[tuple[Incarnation, str], messages.Submit] = {}
         self.answers = AnswerStore()
         self.expired_at = 0.0
 
@@ -138,6 +138,8 @@
 
     def let_in(self, submit: messages.Submit, sender: Incarnation) -> None:
         """Join, answer, refuse, or offer a job; let it wait while its slot moves."""
+        # An older one of the same request must not be let in after this is refused.
+        self.parked.pop((sender, submit.request), None)
         asker = Asker(sender, submit.request, submit.sequence)
         job = submit.job
         if not self.has_slot(submit.slot):
@@ -154,7 +156,7 @@
             return
         known = slot.keys.find(job.service, job.key) is not None
         if not known and self.handing_on(slot) and len(self.parked) < PARKED_BOUND:
-            self.parked.append((submit, sender))
+            self.parked[(sender, submit.request)] = submit
             return
         refusal = self.unfit(slot, job)
         if refusal is not None:
@@ -229,8 +231,8 @@
 
     def unpark(self) -> None:
         """Look again at submissions that wait for a slot to move."""
-        parked, self.parked = self.parked, []
-        for submit, sender in parked:
+        parked, self.parked = self.parked, {}
+        for (sender, _), submit in parked.items():
             self.let_in(submit, sender)
 
     def handing_on(self, slot: Slot) -> bool:
--- a/hawthorntrack/coordination/tests/test_keeper.py
+++ b/hawthorntrack/coordination/tests/test_keeper.py
@@ -374,3 +374,19 @@
         assert len(posted(made.runner, local.Offer)) == 1
 
     run(scene())
+
+
+def test_submission_that_waits_is_not_let_in_after_a_newer_one_was_refused(
+    run, keeper, make_job
+):
+    async def scene():
+        made, job = keeper(), make_job()
+        made.hand_on(made.slots[0])
+        assert submit(made, job) == []
+        await asyncio.sleep(0.6)
+        token = submit(made, job)[0].token
+        tell(made, local.Offered(token, 0, refuse(CUSTOMER_LIMIT)))
+        made.unpark()
+        assert posted(made.runner, local.Offer) == []
+
+    run(scene())
