--- a/hawthorntrack/state/keys.py
+++ b/hawthorntrack/state/keys.py
@@ -4,8 +4,6 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from hawthorntrack.state.values import Answer
-
 
 class KeyNote(NamedTuple):
     """A key as pair members pass it on.
@@ -31,14 +29,13 @@
         Loop time in seconds.
     epoch : int
         The epoch at which this guard admitted it as owner; 0 if it did not.
-    answer : Answer or None
-        The answer, once there is one and while it is kept.
+    ended : bool
+        Whether its job has an answer.
     """
 
     digest: bytes
     noted_at: float
     epoch: int = 0
-    answer: Answer | None = None
     ended: bool = False
 
 
