Tell an operator's own write from an equal one of another

The tool settles a lost answer by reading back, and took any row that holds the wanted value for its own write, also on a first conflict. Two operators who promote the same trial document from the same reading write equal bytes, so the later one was told that it had won.

Ruled out: the table (one conditional write took effect, one version was written); the daemons (they saw one version). The old check only failed when both readings came before either write, seldom with four processes.

Change: each write of a document carries a mark of its own; rows without one are still read. Zones carry none: who wishes for the same zones has them.

--- a/hawthorntrack/cli/context.py
+++ b/hawthorntrack/cli/context.py
@@ -99,7 +99,8 @@
         -----------
         A write without an answer may take effect late. The same conditional write
         is sent again until the row has moved past `expect`: then either it holds
-        this value, or another writer was first.
+        this value, or another writer was first. Where it matters whose write it
+        was, the value carries a mark of its own.
         """
         for _ in range(SETTLE_TRIES):
             outcome = await self.table.write(key, expect, value)
--- a/hawthorntrack/cli/documents.py
+++ b/hawthorntrack/cli/documents.py
@@ -1,6 +1,7 @@
 """Commands on documents: check, put, show, diff, promote, history."""
 
 import difflib
+import uuid
 from typing import NamedTuple
 
 import click
@@ -84,7 +85,7 @@
         If another operator was first; the message names both versions.
     """
     service, number = body["service"], before.number + 1
-    value = write_document(number, body)
+    value = write_document(number, body, mark=uuid.uuid4().hex)
     key = document_key(environment, service)
     outcome = await context.write(key, before.version, value)
     if isinstance(outcome, Conflict):
--- a/hawthorntrack/protocol/rows.py
+++ b/hawthorntrack/protocol/rows.py
@@ -1,7 +1,7 @@
 """Keys and values of the platform's table rows."""
 
 from collections.abc import Iterable
-from typing import TypedDict
+from typing import NotRequired, TypedDict
 
 import msgspec
 
@@ -20,10 +20,15 @@
 
 
 class DocumentRow(TypedDict):
-    """A service's document; `number` counts its versions here, from 1."""
+    """A service's document; `number` counts its versions here, from 1.
+
+    `mark` is the write's own, so that whoever lost its answer can tell it from
+    an equal document of another operator.
+    """
 
     number: int
     body: DocumentBody
+    mark: NotRequired[str]
 
 
 class GuardRow(TypedDict):
@@ -102,9 +107,9 @@
     return msgspec.json.decode(row.value, type=DocumentRow)
 
 
-def write_document(number: int, body: DocumentBody) -> bytes:
-    """Return the row's value for a document."""
-    return msgspec.json.encode({"number": number, "body": body})
+def write_document(number: int, body: DocumentBody, mark: str = "") -> bytes:
+    """Return the row's value for a document; `mark` names the write."""
+    return msgspec.json.encode({"number": number, "body": body, "mark": mark})
 
 
 def read_config(rows: Iterable[Row]) -> Config:
