Look after slots at a cost that the view bounds, not the environment

Cause: a guard's upkeep, ten times a second, copied and walked all registrations (`surroundings`), and ranked all candidates for 200 slots of others, also where the row shows a pair in order; each answered poll, changed or not, compared all slot rows and drew the heartbeat sample anew. docs/CAPACITY.md did not count it: the slopes came from at most 60 guards.

Ruled out: caching the surroundings, which change with every heartbeat's time; walking those alive and asking the rest by key was enough once ranks are asked last.

Change: `eligible` walks those alive; registrations are a ChainMap; ranks are asked after the cheap conditions; views whose parts are the same objects are passed over. One test's call follows the new signature, same assertion.

Shown: coordination's tests pass, lint.

--- a/hawthorntrack/coordination/balance.py
+++ b/hawthorntrack/coordination/balance.py
@@ -124,9 +124,9 @@
     if around.leaving:
         return None
     row = state.row
-    first = preferred_owner(slot, around.names) == around.me.incarnation.address
     if row is None:
-        return claim(slot, "unowned", around) if first and around.settled else None
+        first = around.settled and ranks_first(slot, around)
+        return claim(slot, "unowned", around) if first else None
     pair = (row.last_owner, row.last_witness)
     if not row.formed and around.me.incarnation in pair:
         stuck = row.owner not in around.alive
@@ -134,8 +134,15 @@
     if row.formed and around.me.incarnation in pair:
         return claim(slot, "membership_lost", around)
     if row.last_owner == NOBODY:
-        stuck = first and row.owner not in around.alive
+        stuck = row.owner not in around.alive and ranks_first(slot, around)
         return claim(slot, "claimer_silent", around, avoid=row.owner) if stuck else None
-    if first and around.settled and all(gone(around, member) for member in pair):
+    if not around.settled or not all(gone(around, member) for member in pair):
+        return None
+    if ranks_first(slot, around):
         return claim(slot, "pair_lost", around, reset=True)
     return None
+
+
+def ranks_first(slot: int, around: Surroundings) -> bool:
+    """Return whether this guard should have a slot; asked last, for it ranks all."""
+    return preferred_owner(slot, around.names) == around.me.incarnation.address
--- a/hawthorntrack/coordination/beats.py
+++ b/hawthorntrack/coordination/beats.py
@@ -32,6 +32,7 @@
         self.send = send
         self.loads: tuple[TargetLoad, ...] = ()
         self.partners: frozenset[Incarnation] = frozenset()
+        self.registered: dict[str, GuardInfo] = {}
         self.others: list[Incarnation] = []
         self.turn = 0
         self.draining = False
@@ -48,7 +49,10 @@
 
     @handles(local.ViewChanged)
     def take_view(self, change: local.ViewChanged, sender: Incarnation) -> None:
-        """Take the guards in view."""
+        """Take the guards in view, drawn anew where any of all has changed."""
+        if change.view.guards is self.registered:
+            return
+        self.registered = change.view.guards
         self.others = [
             guard.incarnation
             for guard in self.sample(change.view)
--- a/hawthorntrack/coordination/membership.py
+++ b/hawthorntrack/coordination/membership.py
@@ -14,23 +14,28 @@
 
 
 def eligible(
-    guards: Iterable[GuardInfo], zones_out: frozenset[str], alive: set[Incarnation]
+    registered: Mapping[str, GuardInfo],
+    zones_out: frozenset[str],
+    alive: set[Incarnation],
 ) -> dict[str, GuardInfo]:
     """Return the guards that may take slots, by address.
 
     Parameters
     ----------
-    guards : iterable of GuardInfo
-        All registered guards in view.
+    registered : mapping of str to GuardInfo
+        All registered guards, by address. There may be thousands; of those alive
+        there are as many as are in view.
     zones_out : frozenset of str
         Zones out of service.
     alive : set of Incarnation
         Guards heard of lately, this one included.
     """
+    found = (registered.get(incarnation.address) for incarnation in alive)
     return {
         guard.incarnation.address: guard
-        for guard in guards
-        if not guard.draining
+        for guard in found
+        if guard is not None
+        and not guard.draining
         and guard.place.zone not in zones_out
         and guard.incarnation in alive
     }
--- a/hawthorntrack/coordination/pairing.py
+++ b/hawthorntrack/coordination/pairing.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections import ChainMap
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -393,9 +394,10 @@
         limit = self.settings.timing.pair_silence_s
         alive = {guard for guard, at in self.heard.items() if now - at <= limit}
         alive.add(self.me.incarnation)
-        registered = {**self.view.guards, self.me.incarnation.address: self.me}
+        own = {self.me.incarnation.address: self.me}
+        registered = ChainMap(own, self.view.guards)
         candidates = eligible(
-            registered.values(), self.view.zones_out, alive - self.leaving_peers
+            registered, self.view.zones_out, alive - self.leaving_peers
         )
         leaving = self.draining or self.me.place.zone in self.view.zones_out
         if self.draining:
@@ -457,6 +459,8 @@
     def take_view(self, change: local.ViewChanged, sender: Incarnation) -> None:
         """Take a new view; observe the slot rows that it brings."""
         before, self.view = self.view, change.view
+        if change.view.slots is before.slots:
+            return
         for number, row in change.view.slots.items():
             if before.slots.get(number) != row and number < len(self.slots):
                 self.apply(self.slots[number], own.Observe(row))
--- a/hawthorntrack/coordination/tests/test_decisions.py
+++ b/hawthorntrack/coordination/tests/test_decisions.py
@@ -244,7 +244,8 @@
 
 
 def test_guards_out_of_service_are_not_eligible(infos, guards):
-    left = eligible(infos, frozenset({"recife"}), set(guards[:3]))
+    registered = {info.incarnation.address: info for info in infos}
+    left = eligible(registered, frozenset({"recife"}), set(guards[:3]))
     assert list(left) == [guards[2].address]
 
 
--- a/hawthorntrack/state/owners.py
+++ b/hawthorntrack/state/owners.py
@@ -22,6 +22,7 @@
 
     def __init__(self) -> None:
         self.rows: dict[int, SlotRow] = {}
+        self.learned: Mapping[int, SlotRow] = {}
 
     def learn(self, slot: int, row: SlotRow) -> None:
         """Take a slot's row, unless a newer one is known."""
@@ -30,7 +31,10 @@
             self.rows[slot] = row
 
     def learn_all(self, rows: Mapping[int, SlotRow]) -> None:
-        """Take the rows of a view."""
+        """Take the rows of a view, unless they are the ones taken last."""
+        if rows is self.learned:
+            return
+        self.learned = rows
         for slot, row in rows.items():
             self.learn(slot, row)
 
