Read registrations, slot rows and configuration by what has changed

Cause: every process read all registrations and slot rows again and again: at the target 39,000 rows, 38 times a node's bytes by docs/CAPACITY.md.

Change: a read names the version after which rows are wanted, and is told how many rows the prefix has. `state/mirror.py` merges; where a row was deleted the counts differ, and the whole is read once. Guards that leave say so in their row in place of deleting it (so does `guard forget`); such rows are deleted together once they are many. Peers tell what the asker lacks.

Ruled out: a log of changes (a second thing to keep), gossip of membership (no agreement on what is whole), tombstones kept for ever (addresses change).

Found on the way: a list that was read before the own registration stood, and answered after, ended the process as "no longer registered". Only lists asked for after the registration count now.

--- a/hawthorntrack/cli/fleet.py
+++ b/hawthorntrack/cli/fleet.py
@@ -21,10 +21,12 @@
     entries_prefix,
     guard_key,
     guards_prefix,
+    read_guard,
     read_guards,
     read_slots,
     read_zones,
     slots_prefix,
+    write_departed,
     write_zones,
     zones_key,
 )
@@ -284,13 +286,14 @@
     """
     key = guard_key(context.environment, address)
     row = await context.row(key)
-    if row is None:
+    known = read_guard(row) if row else None
+    if known is None:
         raise CommandError(
             "no_guard", f"No guard is registered at {address}.", EXIT_BAD_INPUT
         )
     if not yes:
         click.confirm(f"Has the process at {address} ended for good?", abort=True)
-    outcome = await context.write(key, row.version, None)
+    outcome = await context.write(key, row.version, write_departed(known))
     if isinstance(outcome, Conflict):
         raise CommandError(
             "conflict",
--- a/hawthorntrack/coordination/control.py
+++ b/hawthorntrack/coordination/control.py
@@ -12,6 +12,7 @@
 from hawthorntrack.state.control import ControlView, apply_config
 from hawthorntrack.state.mailbox import Mailbox, Tick
 from hawthorntrack.state.metrics import BAD_INPUT, CONFIG_STAMP, RETRIES
+from hawthorntrack.state.mirror import Merged, Mirror, merge
 from hawthorntrack.state.settings import Settings
 from hawthorntrack.state.table import (
     ABSENT,
@@ -26,6 +27,8 @@
 
 ASK_PEER_PAUSE_S = 0.2
 JITTER = 0.2
+SWEEP_FROM = 64  # rows of departed guards
+SWEEP_SHARE = 0.1  # of the registered guards
 
 
 class Replaced(RuntimeError):
@@ -39,10 +42,13 @@
     ----------
     version : int
         The table's version of the row this process wrote; 0 before that.
+    settled_at : float
+        Loop time at which it was known to stand, in seconds.
     """
 
     version: int = ABSENT
     settled: bool = False
+    settled_at: float = float("-inf")
 
 
 class Poll(NamedTuple):
@@ -52,11 +58,14 @@
     ----------
     due_at : float
         Loop time of the next read, in seconds.
+    mirror : Mirror
+        What was read so far; an empty one has the whole read next.
     """
 
     prefix: str
     due_at: float = 0.0
     running: bool = False
+    mirror: Mirror = Mirror()
 
 
 def paced_interval_s(interval_s: float, processes: int, budget_per_s: int) -> float:
@@ -110,14 +119,14 @@
         super().__init__(settings.bounds.mailbox)
         self.me = me
         self.key = prefix + me.incarnation.address
-        self.prefix = prefix
+        self.watched = prefix == rows.guards_prefix(settings.environment)
         self.settings = settings
         self.table = table
         self.send = send
         self.subscribers = subscribers
         self.rng = rng
         self.view = ControlView()
-        self.config_rows: tuple[Row, ...] = ()
+        self.departed: dict[str, Row] = {}
         self.registration = Registration()
         self.registering = False
         environment = settings.environment
@@ -156,56 +165,107 @@
         poll, now = self.polls[subject], self.now()
         span = self.interval_s(subject) * self.rng.uniform(1 - JITTER, 1 + JITTER)
         self.polls[subject] = poll._replace(running=True, due_at=now + span)
-        self.spawn(self.read(subject, poll.prefix, now))
+        self.spawn(self.read(subject, poll, now))
 
-    async def read(self, subject: str, prefix: str, sent_at: float) -> None:
-        """Read rows and post what came of it."""
-        outcome = await self.table.read(prefix)
-        found = outcome.rows if isinstance(outcome, Found) else None
-        self.mailbox.put(local.PollAnswered(subject, sent_at, found))
+    async def read(self, subject: str, poll: Poll, sent_at: float) -> None:
+        """Read what changed and post what came of it."""
+        after = poll.mirror.version
+        outcome = await self.table.read(poll.prefix, after)
+        found = outcome if isinstance(outcome, Found) else None
+        self.mailbox.put(local.PollAnswered(subject, sent_at, after, found))
 
     @handles(local.PollAnswered)
     def take_poll(self, answer: local.PollAnswered, sender: Incarnation) -> None:
         """Take rows into the view, or note that the table did not answer."""
         poll = self.polls[answer.subject]
         self.polls[answer.subject] = poll._replace(running=False)
-        if answer.rows is None:
+        if answer.found is None:
             RETRIES.labels(reason="table_read_unavailable").inc()
             # A poll that was out during a freeze fails at its end: what it tells is
             # how things stood when it was sent.
             failed_at = max(self.view.failed_at, answer.sent_at)
             self.publish(self.view._replace(failed_at=failed_at))
             return
+        before = poll.mirror if answer.after else Mirror()
+        merged = merge(before, answer.found.rows, answer.found.total)
+        if merged is None:
+            RETRIES.labels(reason="table_rows_deleted").inc()
+            self.polls[answer.subject] = Poll(poll.prefix)
+            return
         try:
-            view = self.taken(answer)
+            view = self.taken(answer, merged)
         except ValueError as error:
             BAD_INPUT.labels(edge="table", reason=answer.subject).inc()
             log_message("table:bad_rows", subject=answer.subject, error=str(error))
             return
+        self.keep(answer.subject, merged.mirror)
         self.answered.add(answer.subject)
+        if answer.subject == "guards":
+            self.sweep()
         self.publish(view)
         if self.answered >= self.polls.keys() and self.registration.settled:
             self.on_ready()
 
-    def taken(self, answer: local.PollAnswered) -> ControlView:
+    def keep(self, subject: str, mirror: Mirror) -> None:
+        """Keep what is held of a subject now."""
+        self.polls[subject] = self.polls[subject]._replace(mirror=mirror)
+
+    def taken(self, answer: local.PollAnswered, merged: Merged) -> ControlView:
         """Return the view with the rows of one poll."""
-        if answer.subject == "guards":
-            guards = rows.read_guards(answer.rows)
-            if self.prefix == self.polls["guards"].prefix:
-                self.check_own(guards.get(self.me.incarnation.address))
-            return self.view._replace(guards=guards)
+        if answer.subject == "config":
+            view = self.with_config(merged)
+            return view._replace(confirmed_at=max(view.confirmed_at, answer.sent_at))
+        whole = not answer.after
         if answer.subject == "slots":
-            return self.view._replace(slots=rows.read_slots(answer.rows))
-        view = self.with_config(answer.rows)
-        return view._replace(confirmed_at=max(view.confirmed_at, answer.sent_at))
-
-    def with_config(self, found: tuple[Row, ...]) -> ControlView:
-        """Return the view with configuration rows, keeping them for peers."""
-        view = apply_config(self.view, rows.read_config(found))
-        if view.stamp > self.view.stamp:
-            self.config_rows = found
+            known = {} if whole else self.view.slots
+            changed = rows.read_slots(merged.changed)
+            return self.view._replace(slots={**known, **changed} if changed else known)
+        view = self.view._replace(guards=self.registered(merged.changed, whole))
+        if self.watched and answer.sent_at >= self.registration.settled_at:
+            self.check_own(view.guards.get(self.me.incarnation.address))
         return view
 
+    def with_config(self, merged: Merged) -> ControlView:
+        """Return the view with the configuration that is held now."""
+        if not merged.changed:
+            return self.view
+        return apply_config(self.view, rows.read_config(merged.mirror.rows.values()))
+
+    def registered(self, changed: tuple[Row, ...], whole: bool) -> dict[str, GuardInfo]:
+        """Return the registered guards, and keep the rows of those that departed."""
+        if whole:
+            self.departed = {}
+        known = {} if whole else self.view.guards
+        if not changed:
+            return known
+        here, by_address = rows.read_guards(changed), self.departed
+        by_address = {**by_address, **{rows.address_of(row): row for row in changed}}
+        self.departed = {a: row for a, row in by_address.items() if a not in here}
+        guards = {**known, **here}
+        return {a: guard for a, guard in guards.items() if a not in self.departed}
+
+    def sweep(self) -> None:
+        """Delete the rows of departed guards once they are many.
+
+        Explanation
+        -----------
+        Each deletion has every process read the whole list once, so they go together.
+        No process is chosen: each begins by chance, one of all at a poll, and what
+        two delete at once is deleted once.
+        """
+        guards = len(self.view.guards)
+        if len(self.departed) < max(SWEEP_FROM, SWEEP_SHARE * guards):
+            return
+        if self.rng.random() * guards < 1:
+            self.spawn(self.delete(list(self.departed.values())))
+
+    async def delete(self, departed: list[Row]) -> None:
+        """Delete rows, unless they changed meanwhile or the table does not answer."""
+        for row in departed:
+            outcome = await self.table.write(row.key, row.version, None)
+            if isinstance(outcome, Unsettled):
+                return
+
     def publish(self, view: ControlView) -> None:
         """Make a view the one in force, and tell the tasks that act on it."""
         if view.stamp != self.view.stamp:
@@ -230,22 +290,37 @@
         if self.now() - self.asked_at < ASK_PEER_PAUSE_S:
             return
         self.asked_at = self.now()
-        self.send(seen.peer, messages.AskConfig())
+        after = self.polls["config"].mirror.version
+        self.send(seen.peer, messages.AskConfig(after))
 
     @handles(messages.AskConfig)
     def tell_config(self, ask: messages.AskConfig, sender: Incarnation) -> None:
-        """Give a peer the configuration rows held here."""
-        told = tuple((row.key, row.version, row.value) for row in self.config_rows)
-        self.send(sender, messages.ConfigRows(told))
+        """Give a peer the configuration rows that it lacks."""
+        held = self.polls["config"].mirror.rows
+        told = tuple(tuple(row) for row in held.values() if row.version > ask.after)
+        self.send(sender, messages.ConfigRows(told, len(held)))
 
     @handles(messages.ConfigRows)
     def take_config(self, told: messages.ConfigRows, sender: Incarnation) -> None:
-        """Take a peer's configuration rows, if they are newer."""
+        """Take a peer's configuration rows, if they are newer.
+
+        Explanation
+        -----------
+        Where they do not make a whole with what is held, the next poll does.
+        """
+        held = self.polls["config"].mirror
+        merged = merge(held, (Row(*row) for row in told.rows), told.total)
+        if merged is None:
+            RETRIES.labels(reason="peer_config_partial").inc()
+            return
         try:
-            self.publish(self.with_config(tuple(Row(*row) for row in told.rows)))
+            view = self.with_config(merged)
         except ValueError as error:
             BAD_INPUT.labels(edge="bus", reason="config_rows").inc()
             log_message("config:bad_rows", error=str(error))
+            return
+        self.keep("config", merged.mirror)
+        self.publish(view)
 
     # --- registration
 
@@ -265,8 +340,8 @@
         self.registering = False
         match done.outcome:
             case Written(version):
-                self.registration = Registration(version, True)
-                self.poll("guards")
+                self.registration = Registration(version, True, self.now())
+                self.polls["guards"] = self.polls["guards"]._replace(due_at=0.0)
             case Conflict(row):
                 self.registration = self.met(row)
             case Unsettled():
@@ -277,7 +352,7 @@
         if row is None:
             return Registration(ABSENT)
         mine = rows.read_guard(row) == self.me
-        return Registration(row.version, mine)
+        return Registration(row.version, mine, self.now())
 
     def check_own(self, row: GuardInfo | None) -> None:
         """End this process if its registration was taken over or forgotten.
@@ -303,8 +378,15 @@
         self.register()
 
     async def deregister(self) -> None:
-        """Delete the registration, the last act of a process."""
-        await self.table.write(self.key, self.registration.version, None)
+        """End the registration, the last act of a process.
+
+        Explanation
+        -----------
+        A row that others keep in step says that its guard departed: a deleted one
+        would have all of them read the whole list.
+        """
+        value = rows.write_departed(self.me) if self.watched else None
+        await self.table.write(self.key, self.registration.version, value)
 
     @handles(local.ShowStatus)
     def show(self, ask: local.ShowStatus, sender: Incarnation) -> None:
--- a/hawthorntrack/coordination/tests/fakes.py
+++ b/hawthorntrack/coordination/tests/fakes.py
@@ -18,7 +18,7 @@
 from hawthorntrack.state.mailbox import Mailbox, Tick, tick
 from hawthorntrack.state.outcomes import QUEUE_FULL, refuse
 from hawthorntrack.state.settings import Settings
-from hawthorntrack.state.table import MemoryTable, Unavailable, Unsettled
+from hawthorntrack.state.table import ABSENT, MemoryTable, Unavailable, Unsettled
 from hawthorntrack.state.values import GuardInfo, Incarnation, JobSpec, Place
 
 DELAY_S = 0.002
@@ -49,12 +49,12 @@
 
     mode = "up"
 
-    async def read(self, prefix: str) -> Any:
+    async def read(self, prefix: str, after: int = ABSENT) -> Any:
         """Return rows, unless the table is down."""
         await asyncio.sleep(DELAY_S)
-        return (
-            Unavailable("down") if self.mode == "down" else await super().read(prefix)
-        )
+        if self.mode == "down":
+            return Unavailable("down")
+        return await super().read(prefix, after)
 
     async def write(self, key: str, expect: int, value: bytes | None) -> Any:
         """Write, unless the table is down; the answer may be lost."""
--- a/hawthorntrack/coordination/tests/test_failures.py
+++ b/hawthorntrack/coordination/tests/test_failures.py
@@ -112,7 +112,7 @@
         await asyncio.sleep(5)
         view = control.view._replace(confirmed_at=sent_at, failed_at=sent_at)
         control.publish(view)
-        control.handle(local.PollAnswered("config", sent_at, None))
+        control.handle(local.PollAnswered("config", sent_at, 0, None))
         assert not control.view.fresh(control.now(), 2.5)
         await stop(made)
 
--- a/hawthorntrack/protocol/bodies.py
+++ b/hawthorntrack/protocol/bodies.py
@@ -83,9 +83,10 @@
 
 
 class RowsBody(TypedDict):
-    """The answer to a read by prefix."""
+    """The answer to a read by prefix; `total` counts rows not asked for too."""
 
     rows: list[RowBody]
+    total: int
 
 
 class WriteBody(TypedDict):
--- a/hawthorntrack/protocol/local.py
+++ b/hawthorntrack/protocol/local.py
@@ -6,7 +6,7 @@
 from hawthorntrack.protocol.bodies import AnnouncementBody
 from hawthorntrack.state.control import ControlView
 from hawthorntrack.state.started import TaskName
-from hawthorntrack.state.table import WriteOutcome
+from hawthorntrack.state.table import Found, WriteOutcome
 from hawthorntrack.state.values import (
     Answer,
     Incarnation,
@@ -30,11 +30,15 @@
 
 
 class PollAnswered(NamedTuple):
-    """A poll of the table ended; `rows` is None where it failed."""
+    """A poll of the table ended; `found` is None where it failed.
+
+    `after` is the version above which rows were asked for.
+    """
 
     subject: str
     sent_at: float
-    rows: tuple | None
+    after: int
+    found: Found | None
 
 
 class Registered(NamedTuple):
--- a/hawthorntrack/protocol/messages.py
+++ b/hawthorntrack/protocol/messages.py
@@ -49,14 +49,17 @@
 
 @message("ask_config")
 class AskConfig(NamedTuple):
-    """Asks a peer with a newer stamp for its configuration rows."""
+    """Asks a peer with a newer stamp for its configuration rows after a version."""
+
+    after: int
 
 
 @message("config_rows")
 class ConfigRows(NamedTuple):
-    """Configuration rows as ``(key, version, value)``."""
+    """Configuration rows as ``(key, version, value)``; `total` counts all of them."""
 
     rows: tuple[tuple[str, int, bytes], ...]
+    total: int
 
 
 @message("submit")
--- a/hawthorntrack/protocol/rows.py
+++ b/hawthorntrack/protocol/rows.py
@@ -32,7 +32,7 @@
 
 
 class GuardRow(TypedDict):
-    """A guard's registration."""
+    """A guard's registration; `departed` once its process has ended for good."""
 
     nonce: str
     zone: str
@@ -40,6 +40,7 @@
     worker: str
     http: str
     draining: bool
+    departed: NotRequired[bool]
 
 
 def config_prefix(environment: str) -> str:
@@ -124,27 +125,33 @@
     )
 
 
+def address_of(row: Row) -> str:
+    """Return the bus address that a registration is for."""
+    return row.key.rpartition("/")[2]
+
+
 def read_guards(rows: Iterable[Row]) -> dict[str, GuardInfo]:
-    """Return registered processes by their bus address."""
-    return {
-        guard.incarnation.address: guard for guard in (read_guard(row) for row in rows)
-    }
+    """Return registered processes by their bus address, without those departed."""
+    guards = ((address_of(row), read_guard(row)) for row in rows)
+    return {address: guard for address, guard in guards if guard is not None}
 
 
-def read_guard(row: Row) -> GuardInfo:
-    """Return one registration."""
+def read_guard(row: Row) -> GuardInfo | None:
+    """Return one registration, or None where its process has departed."""
     body = msgspec.json.decode(row.value, type=GuardRow)
+    if body.get("departed"):
+        return None
     return GuardInfo(
-        Incarnation(row.key.rpartition("/")[2], body["nonce"]),
+        Incarnation(address_of(row), body["nonce"]),
         Place(body["zone"], body["rack"], body["worker"]),
         body["http"],
         body["draining"],
     )
 
 
-def write_guard(guard: GuardInfo) -> bytes:
-    """Return the row's value for a registration."""
-    body: GuardRow = {
+def guard_body(guard: GuardInfo) -> GuardRow:
+    """Return the body of a registration."""
+    return {
         "nonce": guard.incarnation.nonce,
         "zone": guard.place.zone,
         "rack": guard.place.rack,
@@ -152,7 +159,16 @@
         "http": guard.http,
         "draining": guard.draining,
     }
-    return msgspec.json.encode(body)
+
+
+def write_guard(guard: GuardInfo) -> bytes:
+    """Return the row's value for a registration."""
+    return msgspec.json.encode(guard_body(guard))
+
+
+def write_departed(guard: GuardInfo) -> bytes:
+    """Return the row's value for a registration whose process has ended."""
+    return msgspec.json.encode({**guard_body(guard), "departed": True})
 
 
 def read_slot(row: Row) -> SlotRow:
--- a/hawthorntrack/standins/table.py
+++ b/hawthorntrack/standins/table.py
@@ -10,7 +10,7 @@
 from hawthorntrack.protocol.bodies import RowBody, WriteBody
 from hawthorntrack.standins.serving import serve
 from hawthorntrack.state.registry import Registry
-from hawthorntrack.state.table import MemoryTable, Row, Written
+from hawthorntrack.state.table import ABSENT, MemoryTable, Row, Written
 
 
 class FaultBody(TypedDict):
@@ -56,13 +56,15 @@
         return web.Response(status=503, text="the table is down\n")
 
     async def read(self, request: web.Request) -> web.Response:
-        """Return the rows of a prefix."""
+        """Return the rows of a prefix that changed after a version."""
         down = await self.meet_fault()
         if down is not None:
             return down
         self.counts["reads"] += 1
-        found = await self.table.read(request.query.get("prefix", ""))
-        return json_response({"rows": [row_body(row) for row in found.rows]})
+        prefix, after = (request.query.get(name) for name in ("prefix", "after"))
+        found = await self.table.read(prefix or "", int(after or ABSENT))
+        body = {"rows": [row_body(row) for row in found.rows], "total": found.total}
+        return json_response(body)
 
     async def write(self, request: web.Request) -> web.Response:
         """Carry out a conditional write; its answer may be lost."""
--- a/hawthorntrack/state/table.py
+++ b/hawthorntrack/state/table.py
@@ -39,9 +39,16 @@
 
 @dataclass(frozen=True)
 class Found:
-    """Rows of a read, in order of their keys."""
+    """Rows of a read, in order of their keys.
+
+    Attributes
+    ----------
+    total : int
+        How many rows the prefix has, also those that were not asked for.
+    """
 
     rows: tuple[Row, ...]
+    total: int
 
 
 @dataclass(frozen=True)
@@ -58,8 +65,8 @@
 class Table(Protocol):
     """Reads by prefix and conditional writes."""
 
-    async def read(self, prefix: str) -> ReadOutcome:
-        """Return all rows whose key starts with `prefix`."""
+    async def read(self, prefix: str, after: int = ABSENT) -> ReadOutcome:
+        """Return rows whose key starts with `prefix`, changed after a version."""
 
     async def write(self, key: str, expect: int, value: bytes | None) -> WriteOutcome:
         """Write a row if its version is `expect`; None deletes it."""
@@ -86,10 +93,11 @@
         self.rows: dict[str, Row] = {}
         self.last_version = 0
 
-    async def read(self, prefix: str) -> ReadOutcome:
-        """Return all rows whose key starts with `prefix`."""
-        keys = sorted(key for key in self.rows if key.startswith(prefix))
-        return Found(tuple(self.rows[key] for key in keys))
+    async def read(self, prefix: str, after: int = ABSENT) -> ReadOutcome:
+        """Return rows whose key starts with `prefix`, changed after a version."""
+        rows = [row for key, row in self.rows.items() if key.startswith(prefix)]
+        changed = (row for row in rows if row.version > after)
+        return Found(tuple(sorted(changed)), len(rows))
 
     async def write(self, key: str, expect: int, value: bytes | None) -> WriteOutcome:
         """Write a row if its version is `expect`; None deletes it."""
--- a/hawthorntrack/transport/table_client.py
+++ b/hawthorntrack/transport/table_client.py
@@ -15,6 +15,7 @@
 from hawthorntrack.state.rates import TokenBucket
 from hawthorntrack.state.settings import Settings
 from hawthorntrack.state.table import (
+    ABSENT,
     Conflict,
     Found,
     ReadOutcome,
@@ -80,12 +81,12 @@
             await asyncio.sleep(wait_s)
         bucket.take(loop.time())
 
-    async def read(self, prefix: str) -> ReadOutcome:
-        """Return all rows whose key starts with `prefix`."""
+    async def read(self, prefix: str, after: int = ABSENT) -> ReadOutcome:
+        """Return rows whose key starts with `prefix`, changed after a version."""
         await self.take(self.reads)
         try:
             async with self.opened().get(
-                f"{self.url}/rows", params={"prefix": prefix}
+                f"{self.url}/rows", params={"prefix": prefix, "after": after}
             ) as response:
                 response.raise_for_status()
                 body = msgspec.json.decode(await response.read(), type=RowsBody)
@@ -93,7 +94,7 @@
             TABLE_CALLS.labels(call="read", outcome="unavailable").inc()
             return Unavailable(describe(error))
         TABLE_CALLS.labels(call="read", outcome="found").inc()
-        return Found(tuple(row_of(row) for row in body["rows"]))
+        return Found(tuple(row_of(row) for row in body["rows"]), body["total"])
 
     async def write(self, key: str, expect: int, value: bytes | None) -> WriteOutcome:
         """Write a row if its version is `expect`; None deletes it."""
