Keep views fresh through peers where polls must lie far apart

Cause: a guard starts nothing on a view older than 2.5 s, and only its own polls of the table confirmed it.

Ruled out: a longer freshness (a zone must be out within seconds), more polls (13,000 every 2 s are three times the table's budget), the age on heartbeats (a frozen process would read old ones as new ones).

Change: a process whose view is half way to the bound asks three peers of its sample. They answer with what it lacks and how long ago the table was asked for it. What counts is when the asker asked, so an answer that waited through a freeze makes nothing fresh. The sample is drawn faster (a set, not a list).

Tests: with polls 2 to 3 s apart, views stay fresh through ten seconds of load (failed before; the scene breaks without `ask_peers`); a zone is out in bound there, also with guards frozen across it. The scene "told by peers" broke by removing the reaction to newer stamps; peers are now also asked when views age, so its removal is that of the answers: more is removed, the scene is the same.

--- a/hawthorntrack/coordination/control.py
+++ b/hawthorntrack/coordination/control.py
@@ -1,11 +1,12 @@
 """The task that keeps a process's view of configuration and membership."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
 from eliot import log_message
 
+from hawthorntrack.coordination.membership import in_view
 from hawthorntrack.coordination.pairing import Send
 from hawthorntrack.protocol import local, messages, rows
 from hawthorntrack.state.actor import Actor, handles
@@ -27,6 +28,8 @@
 
 ASK_PEER_PAUSE_S = 0.2
 JITTER = 0.2
+PEERS_FROM = 0.5  # of the freshness bound
+PEERS_AT_ONCE = 3
 SWEEP_FROM = 64  # rows of departed guards
 SWEEP_SHARE = 0.1  # of the registered guards
 
@@ -127,6 +130,7 @@
         self.rng = rng
         self.view = ControlView()
         self.departed: dict[str, Row] = {}
+        self.neighbours: list[Incarnation] = []
         self.registration = Registration()
         self.registering = False
         environment = settings.environment
@@ -159,6 +163,8 @@
                 self.poll(subject)
         if not self.registration.settled and not self.registering:
             self.register()
+        if self.view.age_s(now) > self.settings.timing.freshness_s * PEERS_FROM:
+            self.ask_peers()
 
     def poll(self, subject: str) -> None:
         """Read one subject now."""
@@ -221,6 +227,8 @@
             changed = rows.read_slots(merged.changed)
             return self.view._replace(slots={**known, **changed} if changed else known)
         view = self.view._replace(guards=self.registered(merged.changed, whole))
+        if merged.changed:
+            self.neighbours = self.drawn(view.guards.values())
         if self.watched and answer.sent_at >= self.registration.settled_at:
             self.check_own(view.guards.get(self.me.incarnation.address))
         return view
@@ -244,6 +252,12 @@
         guards = {**known, **here}
         return {a: guard for a, guard in guards.items() if a not in self.departed}
 
+    def drawn(self, guards: Iterable[GuardInfo]) -> list[Incarnation]:
+        """Return the guards to ask, a sample of all."""
+        size, me = self.settings.bounds.view_size, self.me.incarnation
+        sample = in_view(self.me.place, guards, size, me.address)
+        return [guard.incarnation for guard in sample if guard.incarnation != me]
+
     def sweep(self) -> None:
         """Delete the rows of departed guards once they are many.
 
@@ -290,15 +304,35 @@
         if self.now() - self.asked_at < ASK_PEER_PAUSE_S:
             return
         self.asked_at = self.now()
+        self.ask(seen.peer)
+
+    def ask(self, peer: Incarnation) -> None:
+        """Ask a peer for what is lacking here."""
         after = self.polls["config"].mirror.version
-        self.send(seen.peer, messages.AskConfig(after))
+        self.send(peer, messages.AskConfig(after, self.now()))
+
+    def ask_peers(self) -> None:
+        """Ask some peers for their newer view.
+
+        Explanation
+        -----------
+        Among many processes each may ask the table only seldom. A peer that asked it
+        later, or was told by one that did, tells what it found and how long ago. As
+        with a poll, what counts is when this process asked, so that answers which
+        waited through a freeze make no view fresh.
+        """
+        peers = min(PEERS_AT_ONCE, len(self.neighbours))
+        for peer in self.rng.sample(self.neighbours, peers):
+            self.ask(peer)
 
     @handles(messages.AskConfig)
     def tell_config(self, ask: messages.AskConfig, sender: Incarnation) -> None:
         """Give a peer the configuration rows that it lacks."""
         held = self.polls["config"].mirror.rows
         told = tuple(tuple(row) for row in held.values() if row.version > ask.after)
-        self.send(sender, messages.ConfigRows(told, len(held)))
+        age_s = self.view.age_s(self.now())
+        answer = messages.ConfigRows(told, len(held), ask.asked_at, age_s)
+        self.send(sender, answer)
 
     @handles(messages.ConfigRows)
     def take_config(self, told: messages.ConfigRows, sender: Incarnation) -> None:
@@ -320,7 +354,8 @@
             log_message("config:bad_rows", error=str(error))
             return
         self.keep("config", merged.mirror)
-        self.publish(view)
+        as_of = told.asked_at - told.age_s
+        self.publish(view._replace(confirmed_at=max(view.confirmed_at, as_of)))
 
     # --- registration
 
--- a/hawthorntrack/coordination/membership.py
+++ b/hawthorntrack/coordination/membership.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable, Mapping
 from functools import lru_cache
+from itertools import islice
 
 from hawthorntrack.state.hashing import rendezvous
 from hawthorntrack.state.registry import Registry
@@ -121,5 +122,6 @@
         return list(by_address.values())
     ranked = [by_address[name] for name in rendezvous(subject, by_address)]
     near = [guard for guard in ranked if guard.place.zone == me.zone][: size // 2]
-    rest = [guard for guard in ranked if guard not in near]
-    return near + rest[: size - len(near)]
+    taken = {guard.incarnation.address for guard in near}
+    rest = (guard for guard in ranked if guard.incarnation.address not in taken)
+    return near + list(islice(rest, size - len(near)))
--- a/hawthorntrack/coordination/tests/fakes.py
+++ b/hawthorntrack/coordination/tests/fakes.py
@@ -48,9 +48,11 @@
     """A table that can be down, or lose the answers of writes."""
 
     mode = "up"
+    reads = 0
 
     async def read(self, prefix: str, after: int = ABSENT) -> Any:
         """Return rows, unless the table is down."""
+        self.reads += 1
         await asyncio.sleep(DELAY_S)
         if self.mode == "down":
             return Unavailable("down")
@@ -382,6 +384,18 @@
     return replies
 
 
+async def poll_seldom(cluster):
+    """Have each process ask the table every 2 to 3 s, one after the other."""
+    for number, name in enumerate(cluster.nodes):
+        control = cluster.control(name)
+        bounds = control.settings.bounds._replace(poll_budget_per_s=2)
+        control.settings = control.settings._replace(bounds=bounds)
+        due_at = control.now() + 0.5 + number / 2
+        for subject, poll in control.polls.items():
+            control.polls[subject] = poll._replace(due_at=due_at)
+    await asyncio.sleep(6)
+
+
 def starts_after_zone_out(cluster: Cluster, zone: str, out_at: float) -> list:
     """Return the starts in a zone later than the bound after it was taken out."""
     limit = out_at + ZONE_OUT_BOUND_S
--- a/hawthorntrack/coordination/tests/test_control.py
+++ b/hawthorntrack/coordination/tests/test_control.py
@@ -154,7 +154,7 @@
         mirror = control.polls["config"].mirror
         held = mirror._replace(rows={row.key: row for row in found}, version=4)
         control.keep("config", held)
-        tell(control, messages.AskConfig(2), infos[1].incarnation)
+        tell(control, messages.AskConfig(2, 1.0), infos[1].incarnation)
         (told,) = wire.take(messages.ConfigRows)
         assert (told.rows, told.total) == ((tuple(found[0]),), 2)
 
@@ -166,10 +166,10 @@
         control = make_control(FaultyTable())
         key = rows.zones_key("production")
         newer = (key, 7, rows.write_zones(["recife"]))
-        tell(control, messages.ConfigRows((newer,), 1), infos[1].incarnation)
         older = (key, 5, rows.write_zones([]))
-        for told in (messages.ConfigRows((older,), 1), messages.ConfigRows((), 0)):
-            tell(control, told, infos[1].incarnation)
+        for told, total in (((newer,), 1), ((older,), 1), ((), 0)):
+            rows_told = messages.ConfigRows(told, total, control.now(), 0.0)
+            tell(control, rows_told, infos[1].incarnation)
         assert control.view.zones_out == frozenset({"recife"})
         assert control.view.stamp == control.polls["config"].mirror.version == 7
 
--- a/hawthorntrack/coordination/tests/test_failures.py
+++ b/hawthorntrack/coordination/tests/test_failures.py
@@ -8,6 +8,7 @@
     ask,
     check,
     load,
+    poll_seldom,
     settle,
     starts_after_zone_out,
     stop,
@@ -195,3 +196,28 @@
         await stop(made)
 
     run(scene())
+
+
+@pytest.mark.parametrize("frozen", [(), ("g0", "g1")])
+def test_zone_out_is_in_force_where_polls_are_far_apart(run, cluster, make_job, frozen):
+    async def scene():
+        made, router = await cluster()
+        await poll_seldom(made)
+        loading = asyncio.ensure_future(
+            load(made, router, make_job, jobs=120, gap_s=0.05, again_s=())
+        )
+        await asyncio.sleep(1)
+        for name in frozen:
+            made.freeze(name)
+        key = rows.zones_key("production")
+        await made.table.write(key, ABSENT, rows.write_zones(["recife"]))
+        out_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(5)
+        for name in frozen:
+            made.resume(name)
+        check(made, await settle(await loading))
+        assert starts_after_zone_out(made, "recife", out_at) == []
+        assert made.starts[-1][2] > out_at
+        await stop(made)
+
+    run(scene())
--- a/hawthorntrack/coordination/tests/test_mechanisms.py
+++ b/hawthorntrack/coordination/tests/test_mechanisms.py
@@ -16,12 +16,13 @@
     Cluster,
     check,
     load,
+    poll_seldom,
     settle,
     starts_after_zone_out,
     stop,
 )
 from hawthorntrack.experiment.layout import deployments, document_body
-from hawthorntrack.protocol import local, rows
+from hawthorntrack.protocol import messages, rows
 from hawthorntrack.state.control import ControlView
 from hawthorntrack.state.mailbox import Mailbox
 from hawthorntrack.state.registry import Registry
@@ -108,9 +109,15 @@
 
 
 @removals.register("told by peers")
-def ask_no_peer(patch):
-    """Ignore what peers' messages say of newer configuration."""
-    patch.setitem(Control.handlers, local.StampSeen, lambda self, seen, sender: None)
+def tell_no_peer(patch):
+    """Leave peers that ask for newer configuration without an answer."""
+    patch.setitem(Control.handlers, messages.AskConfig, lambda *asked: None)
+
+
+@removals.register("kept fresh by peers")
+def ask_the_table_only(patch):
+    """Leave it to the own polls to confirm a view."""
+    patch.setattr(Control, "ask_peers", lambda self: None)
 
 
 @removals.register("sure messages")
@@ -185,6 +192,23 @@
     assert told == [frozenset({"olinda"})] * len(told)
 
 
+async def polls_far_apart(made, router, make_job):
+    """Each process asks the table at times that lie further apart than views last."""
+    await poll_seldom(made)
+    loading = asyncio.ensure_future(
+        load(made, router, make_job, jobs=100, gap_s=0.1, again_s=())
+    )
+    begun = made.table.reads
+    for _ in range(100):
+        await asyncio.sleep(0.1)
+        controls = [made.control(name) for name in made.nodes]
+        assert all(c.view.fresh(c.now(), 2.5) for c in controls)
+    assert made.table.reads - begun <= 3 * 6 * len(made.nodes)
+    replies = await settle(await loading)
+    check(made, replies)
+    assert {reply.result().status for (reply,) in replies.values()} == {"complete"}
+
+
 async def owner_killed(made, router, make_job):
     """An owner dies, and its callers submit again."""
     loading = asyncio.ensure_future(load(made, router, make_job, again_s=(2.5, 4.0)))
@@ -242,6 +266,7 @@
     "passed answers": guards_leave_in_turn,
     "sure messages": mailboxes_full_at_times,
     "told by peers": zone_out_seen_by_one,
+    "kept fresh by peers": polls_far_apart,
 }
 
 
--- a/hawthorntrack/protocol/messages.py
+++ b/hawthorntrack/protocol/messages.py
@@ -49,17 +49,34 @@
 
 @message("ask_config")
 class AskConfig(NamedTuple):
-    """Asks a peer with a newer stamp for its configuration rows after a version."""
+    """Asks a peer for its configuration rows after a version.
+
+    Attributes
+    ----------
+    asked_at : float
+        The asker's own loop time, in seconds; it comes back with the answer.
+    """
 
     after: int
+    asked_at: float
 
 
 @message("config_rows")
 class ConfigRows(NamedTuple):
-    """Configuration rows as ``(key, version, value)``; `total` counts all of them."""
+    """Configuration rows as ``(key, version, value)``; `total` counts all of them.
+
+    Attributes
+    ----------
+    asked_at : float
+        As it was asked.
+    age_s : float
+        How long before the answer the table was asked for what is told, in seconds.
+    """
 
     rows: tuple[tuple[str, int, bytes], ...]
     total: int
+    asked_at: float
+    age_s: float
 
 
 @message("submit")
--- a/hawthorntrack/specs/document_versions.py
+++ b/hawthorntrack/specs/document_versions.py
@@ -28,7 +28,8 @@
     Attributes
     ----------
     floor : int
-        The table's stamp when the poll was sent; 0 for a peer's word.
+        The stamp that the answer vouches for: the table's when the poll was sent, or
+        what the peer that tells must act on itself.
     """
 
     to: int
@@ -97,7 +98,7 @@
             yield f"{number} polls", partial(self.send, world, poll)
             for peer, config in enumerate(world.acted):
                 if peer != number and config.stamp:
-                    told = Reply(number, config, 0)
+                    told = Reply(number, config, world.promised[peer])
                     yield f"{peer} tells {number}", partial(self.send, world, told)
         for reply in world.replies:
             yield (
--- a/hawthorntrack/state/control.py
+++ b/hawthorntrack/state/control.py
@@ -29,7 +29,8 @@
     stamp : int
         Highest table version among the configuration rows; it only grows.
     confirmed_at : float
-        Loop time at which the newest successful poll was sent, in seconds.
+        Loop time at which the newest successful poll was sent, by this process or by
+        a peer that told what it found, in seconds.
     failed_at : float
         Loop time at which the newest failed poll was sent, in seconds.
     """
@@ -51,7 +52,11 @@
         change, and work goes on. A process that was frozen has neither, and must
         not act on its view until it has asked again.
         """
-        return now - max(self.confirmed_at, self.failed_at) <= freshness_s
+        return self.age_s(now) <= freshness_s
+
+    def age_s(self, now: float) -> float:
+        """Return how long ago the table was asked, in seconds."""
+        return now - max(self.confirmed_at, self.failed_at)
 
 
 def apply_config(view: ControlView, config: Config) -> ControlView:
