Time the pieces of the hot path by themselves, with pytest-benchmark too

The costs behind docs/CAPACITY.md were functions that returned a figure; they are pieces of work in one registry now (`experiment/costs.py`), timed by `make slopes` and by `make microbench`, and run once each by the tests.

Shown: costs run, runner's tests pass, lint.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo test lint model bench slopes clean
+.PHONY: setup demo test lint model bench slopes microbench clean
 
 $(VENV)/.ready: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -35,5 +35,9 @@
 slopes: setup
 	$(BIN)/hawthorntrack-lab slopes
 
+# Times the pieces of the hot path, a batch of items at a time.
+microbench: setup
+	$(BIN)/python -m pytest --benchmark-enable hawthorntrack/experiment/tests/test_costs.py
+
 clean:
 	rm -rf $(VENV) out build *.egg-info
--- a/hawthorntrack/coordination/runner.py
+++ b/hawthorntrack/coordination/runner.py
@@ -92,6 +92,7 @@
         self.rng = rng
         self.keeper: Mailbox | None = None
         self.view = ControlView()
+        self.owned = 0
         self.fleet = Fleet()
         self.order = FairOrder()
         self.jobs: dict[int, Job] = {}
@@ -139,8 +140,7 @@
 
     def owned_share(self) -> float:
         """Return the share of all slots that this guard owns, at least one slot's."""
-        owned = sum(row.owner == self.me for row in self.view.slots.values())
-        return max(1, owned) / self.settings.slots
+        return max(1, self.owned) / self.settings.slots
 
     @handles(local.Withdraw)
     def withdraw(self, withdrawn: local.Withdraw, sender: Incarnation) -> None:
@@ -431,13 +431,17 @@
 
     @handles(local.ViewChanged)
     def take_view(self, change: local.ViewChanged, sender: Incarnation) -> None:
-        """Take a new view of who is in service."""
-        self.view = change.view
-        self.serving = {
-            guard.incarnation
-            for guard in change.view.guards.values()
-            if not guard.draining and guard.place.zone not in change.view.zones_out
-        }
+        """Take a new view of who is in service, and of the slots owned here."""
+        before, view = self.view, change.view
+        self.view = view
+        if view.slots is not before.slots:
+            self.owned = sum(row.owner == self.me for row in view.slots.values())
+        if (view.guards, view.zones_out) != (before.guards, before.zones_out):
+            self.serving = {
+                guard.incarnation
+                for guard in view.guards.values()
+                if not guard.draining and guard.place.zone not in view.zones_out
+            }
         self.request_place()
 
     @handles(Tick)
--- a/hawthorntrack/experiment/slopes.py
+++ b/hawthorntrack/experiment/slopes.py
@@ -1,7 +1,6 @@
 """Slopes that the capacity page is worked out from, measured on this machine."""
 
 import asyncio
-import random
 import resource
 import statistics
 import time
@@ -13,39 +12,34 @@
 import msgspec
 
 from hawthorntrack.coordination.pairing import Slot
-from hawthorntrack.coordination.placement import Scene, WaitingTask, policies
+from hawthorntrack.experiment.costs import beat, costs, guard_name, median_us
 from hawthorntrack.experiment.launcher import Fleet
 from hawthorntrack.experiment.layout import deployments
 from hawthorntrack.experiment.replay import Replay, increase, process_cpu_s
 from hawthorntrack.experiment.scenarios import load
 from hawthorntrack.experiment.summary import figures
 from hawthorntrack.experiment.trace import Trace
-from hawthorntrack.protocol import messages, rows
+from hawthorntrack.protocol import rows
 from hawthorntrack.protocol.codec import codecs
 from hawthorntrack.state.answers import AnswerStore
 from hawthorntrack.state.fleet import Fleet as FleetView
 from hawthorntrack.state.keys import KeySet
 from hawthorntrack.state.registry import Registry
 from hawthorntrack.state.started import StartedTask, StartMemory
-from hawthorntrack.state.targets import GuardView
 from hawthorntrack.state.values import (
     Answer,
     GuardInfo,
-    Incarnation,
     Place,
     SlotRow,
     TargetLoad,
     TaskResult,
-    TaskSpec,
 )
 
 OBSERVE_S = 8.0
 SETTLE_S = 6.0
-REPEATS = 5
 
 Maker = Callable[[int], Any]
 memory: Registry[Maker] = Registry("memory slope")
-processor: Registry[Callable[[], float]] = Registry("processor slope")
 
 
 class Line(NamedTuple):
@@ -71,11 +65,6 @@
 # --- memory, in bytes for each item
 
 
-def guard_name(number: int) -> Incarnation:
-    """Return a guard's name as large as real ones."""
-    return Incarnation(f"10.{number % 200}.{number % 250}.7:{7_000 + number}", "a" * 12)
-
-
 @memory.register("slot")
 def many_slots(count: int) -> list[Slot]:
     """Return slots of which this guard has no part."""
@@ -146,69 +135,7 @@
     return fit([(float(n), float(size)) for n, size in points]).slope
 
 
-# --- processor time, in microseconds for each item
-
-
-def best_us(work: Callable[[], Any], count: int) -> float:
-    """Return the median microseconds of one item of work."""
-    spans = []
-    for _ in range(REPEATS):
-        begun = time.perf_counter()
-        for _ in range(count):
-            work()
-        spans.append((time.perf_counter() - begun) / count * 1e6)
-    return statistics.median(spans)
-
-
-def envelope(body: Any) -> messages.Envelope:
-    """Return a message from a guard."""
-    return messages.Envelope(guard_name(7), 99, body)
-
-
-def beat() -> messages.Envelope:
-    """Return a heartbeat of ordinary size."""
-    kinds = ("confirm", "reroute", "check")
-    loads = (TargetLoad("visits", kinds, 8, 5, 1, 1.03),)
-    return envelope(messages.Beat(Place("recife", "recife-r0", "w000"), False, loads))
-
-
-@processor.register("heartbeat encoded and decoded")
-def codec_us() -> float:
-    """Return the cost of a heartbeat's encoding, both ways."""
-    codec, sample = codecs["msgpack"], beat()
-    return best_us(lambda: codec.decode(codec.encode(sample)), 3_000)
-
-
-@processor.register("task placed among 64 guards")
-def placement_us() -> float:
-    """Return the cost of placing one task of ten."""
-    rng = random.Random(1)
-    views = tuple(
-        GuardView(
-            guard_name(n),
-            Place(f"zone-{n % 3}", "r", "w"),
-            TargetLoad("visits", ("a",), 8, n % 8, 0, 1.0),
-            0,
-            0.0,
-        )
-        for n in range(64)
-    )
-    scene = Scene(views, lambda guard, kind: 1.0, "zone-0", rng)
-    tasks = [
-        WaitingTask(1, n, "a", 100.0 + n, -n / 1000, frozenset()) for n in range(10)
-    ]
-    choose = policies["expected_finish"].choose
-    return best_us(lambda: choose(scene, tasks), 50) / 10
-
-
-@processor.register("start message of ten tasks encoded and decoded")
-def start_us() -> float:
-    """Return the cost of a start message's encoding, both ways."""
-    codec = codecs["msgpack"]
-    spec = TaskSpec("confirm", b'{"visit": 1234567}', 100)
-    tasks = tuple(messages.StartTask(n, 1, spec) for n in range(10))
-    sample = envelope(messages.Start("1", "visits", "k" * 36, 4_000, tasks))
-    return best_us(lambda: codec.decode(codec.encode(sample)), 2_000)
+# --- sizes, in bytes
 
 
 def row_sizes() -> dict[str, int]:
@@ -344,7 +271,7 @@
     """Measure every slope."""
     return Slopes(
         {name: bytes_each(memory[name]) for name in memory},
-        {name: processor[name]() for name in processor},
+        {name: median_us(costs[name]()) for name in costs},
         len(codecs["msgpack"].encode(beat())),
         row_sizes(),
         [await idle(count, base_port) for count in counts],
