--- a/hawthorntrack/experiment/capacity.py
+++ b/hawthorntrack/experiment/capacity.py
@@ -1,8 +1,14 @@
 """What each role needs at the target size, worked out from measured slopes."""
 
+import math
 from typing import NamedTuple
 
-from hawthorntrack.coordination.control import paced_interval_s
+from hawthorntrack.coordination.control import (
+    PEERS_AT_ONCE,
+    SWEEP_SHARE,
+    paced_interval_s,
+)
+from hawthorntrack.daemon.guard import CONTROL_TICK_S, KEEPER_TICK_S
 from hawthorntrack.experiment.slopes import Line, Slopes, fit
 from hawthorntrack.state.settings import Bounds
 
@@ -21,6 +27,7 @@
     reads_per_s: float = 2_000
     writes_per_s: float = 300
     changes_per_day: float = 17_000
+    restarts_per_day: float = 5_000
     control_cpu: float = 0.017
     control_mb: float = 256
     control_bytes_per_s: float = 6_000
@@ -74,8 +81,12 @@
     claims = 2 * size.slots_per_guard * lost
     budget = Bounds().poll_budget_per_s
     interval_s = paced_interval_s(1.0, size.guards + size.entries, budget)
-    lists = size.guards * slopes.row_bytes["registration"]
-    lists += size.guards * size.slots_per_guard * slopes.row_bytes["slot"]
+    lists = list_traffic(slopes, size)
+    listed = size.guards * (1 + size.slots_per_guard)
+    rows_mb = listed * memory["row kept in step"] / 1e6
+    asks = PEERS_AT_ONCE / CONTROL_TICK_S
+    polled = min(1.0, CONTROL_TICK_S * budget / (size.guards + size.entries))
+    rounds = math.log(1 / polled) / math.log(1 + PEERS_AT_ONCE)
     return [
         Need("guard", "jobs owned", jobs_here, "jobs/s"),
         Need("guard", "starts", starts_here, "starts/s"),
@@ -88,7 +99,7 @@
         Need(
             "guard",
             "memory in all",
-            base.intercept + keys_mb + starts_mb + view_mb + slots_mb,
+            base.intercept + keys_mb + starts_mb + view_mb + slots_mb + rows_mb,
             "MB",
             size.control_mb,
         ),
@@ -113,6 +124,15 @@
             "cores",
             size.control_cpu,
         ),
+        Need(
+            "guard",
+            "processor for upkeep of slots, 64 heartbeats with it",
+            slopes.processor_us["upkeep of 26,000 slots among 13,000 guards"]
+            / 1e6
+            / KEEPER_TICK_S,
+            "cores",
+            size.control_cpu,
+        ),
         Need("entry", "jobs", jobs_per_s / size.entries, "jobs/s"),
         Need(
             "entry",
@@ -131,11 +151,24 @@
         Need("each", "interval of each poll", interval_s, "s"),
         Need(
             "each",
-            "registrations and slot rows read whole",
-            lists / interval_s,
+            "changed registrations, slot rows and documents",
+            lists.changes_per_s,
+            "B/s",
+            size.control_bytes_per_s,
+        ),
+        Need(
+            "each",
+            "registrations read whole after sweeps",
+            lists.sweeps_per_s,
             "B/s",
             size.control_bytes_per_s,
         ),
+        Need("each", "lists read whole at the start", lists.whole / 1e6, "MB"),
+        Need("each", "rows kept in step", rows_mb, "MB"),
+        Need("table", "lists read whole by who starts", lists.starts_per_s, "B/s"),
+        Need("each", "peers asked for freshness", asks, "messages/s"),
+        Need("each", "share that a poll made fresh", polled, "of all"),
+        Need("each", "rounds of asking until all are fresh", rounds, "rounds"),
         Need("table", "claims after a zone's loss", claims, "claims"),
         Need(
             "table",
@@ -143,11 +176,62 @@
             2 * claims / size.writes_per_s,
             "s",
         ),
-        Need("table", "restarts and failures", 3 * 5_000 / 86_400, "writes/s"),
+        Need(
+            "table",
+            "restarts and failures",
+            (3 + 8 * size.slots_per_guard) * size.restarts_per_day / 86_400,
+            "writes/s",
+            size.writes_per_s,
+        ),
         Need("table", "changes", size.changes_per_day / 86_400, "writes/s"),
     ]
 
 
+class ListTraffic(NamedTuple):
+    """Bytes of the lists that processes keep in step with the table.
+
+    Attributes
+    ----------
+    whole : float
+        All rows, once.
+    changes_per_s, sweeps_per_s : float
+        What each process reads of changes, and after departed rows were deleted.
+    starts_per_s : float
+        What processes that start read, all together.
+    """
+
+    whole: float
+    changes_per_s: float
+    sweeps_per_s: float
+    starts_per_s: float
+
+
+def list_traffic(slopes: Slopes, size: Size) -> ListTraffic:
+    """Return the traffic of lists, from the day's restarts and changes.
+
+    Explanation
+    -----------
+    A guard that is replaced writes its registration three times (there, leaving,
+    departed). Its own slots and those it witnesses move away and back, two writes
+    each time.
+    """
+    day_s = 86_400
+    sizes = slopes.row_bytes
+    registrations = size.guards * sizes["registration"]
+    whole = registrations + size.guards * size.slots_per_guard * sizes["slot"]
+    moved = 2 * size.slots_per_guard * 2 * 2
+    restart = 3 * sizes["registration"] + moved * sizes["slot"]
+    changes = size.restarts_per_day * restart
+    changes += size.changes_per_day * sizes["document"]
+    sweeps = size.restarts_per_day / (SWEEP_SHARE * size.guards)
+    return ListTraffic(
+        whole,
+        changes / day_s,
+        sweeps * registrations / day_s,
+        size.restarts_per_day * whole / day_s,
+    )
+
+
 def message_cpu_s(slopes: Slopes) -> float:
     """Return processor seconds for one control message, from idle deployments."""
     return max(message_line(slopes).slope, 0.0) / 2
@@ -167,7 +251,9 @@
     lines += [
         f"idle, {item.guards} guards: {100 * item.cpu_share:.2f}% of a core,"
         f" {item.bytes_per_s:.0f} B/s, {item.messages_per_s:.1f} messages/s sent,"
-        f" {item.table_reads_per_s:.2f} table reads/s, {item.resident_mb:.0f} MB,"
+        f" {item.table_reads_per_s:.2f} table reads/s,"
+        f" {item.table_bytes_per_s:.0f} B/s read,"
+        f" {item.resident_mb:.0f} MB,"
         f" slots open after {item.formed_after_s:.1f} s"
         for item in slopes.idle
     ]
--- a/hawthorntrack/experiment/slopes.py
+++ b/hawthorntrack/experiment/slopes.py
@@ -14,7 +14,7 @@
 from hawthorntrack.coordination.pairing import Slot
 from hawthorntrack.experiment.costs import beat, costs, guard_name, median_us
 from hawthorntrack.experiment.launcher import Fleet
-from hawthorntrack.experiment.layout import deployments
+from hawthorntrack.experiment.layout import deployments, document_body
 from hawthorntrack.experiment.replay import Replay, increase, process_cpu_s
 from hawthorntrack.experiment.scenarios import load
 from hawthorntrack.experiment.summary import figures
@@ -24,8 +24,10 @@
 from hawthorntrack.state.answers import AnswerStore
 from hawthorntrack.state.fleet import Fleet as FleetView
 from hawthorntrack.state.keys import KeySet
+from hawthorntrack.state.mirror import Mirror, merge
 from hawthorntrack.state.registry import Registry
 from hawthorntrack.state.started import StartedTask, StartMemory
+from hawthorntrack.state.table import Row
 from hawthorntrack.state.values import (
     Answer,
     GuardInfo,
@@ -36,6 +38,14 @@
 )
 
 OBSERVE_S = 8.0
+# What one of thousands of processes is set to; `docs/OPERATIONS.md` tells why.
+LARGE_TIMING = {
+    "beat_interval_ms": 1_000,
+    "poll_interval_ms": 2_000,
+    "members_interval_ms": 10_000,
+    "pair_silence_ms": 5_000,
+    "freshness_ms": 5_000,
+}
 SETTLE_S = 6.0
 
 Maker = Callable[[int], Any]
@@ -107,6 +117,16 @@
     return store
 
 
+@memory.register("row kept in step")
+def many_rows(count: int) -> Mirror:
+    """Return a mirror of slot rows."""
+    guard, other = guard_name(1), guard_name(2)
+    row = SlotRow(12, guard, other, True, guard, other, 0, 99)
+    keys = (rows.slot_key("production", number) for number in range(count))
+    found = (Row(key, 99 + n, rows.write_slot(row)) for n, key in enumerate(keys))
+    return merge(Mirror(), found, count).mirror
+
+
 @memory.register("guard in view")
 def many_guards(count: int) -> FleetView:
     """Return an owner's view of guards."""
@@ -147,12 +167,15 @@
     values = {
         rows.guard_key("production", guard.address): rows.write_guard(info),
         rows.slot_key("production", 12_345): rows.write_slot(row),
+        rows.document_key("production", "visits"): rows.write_document(
+            12, document_body(deployments["jardim"]), "a" * 32
+        ),
     }
     sent = [
         msgspec.json.encode({"key": key, "version": 99, "value": msgspec.Raw(value)})
         for key, value in values.items()
     ]
-    return dict(zip(("registration", "slot"), map(len, sent), strict=True))
+    return dict(zip(("registration", "slot", "document"), map(len, sent), strict=True))
 
 
 # --- processes
@@ -166,6 +189,7 @@
     bytes_per_s: float
     messages_per_s: float
     table_reads_per_s: float
+    table_bytes_per_s: float
     resident_mb: float
     formed_after_s: float
 
@@ -177,9 +201,9 @@
 
 
 async def idle(count: int, base_port: int) -> Idle:
-    """Start so many guards without load, and measure what they spend."""
+    """Start so many guards without load, set as one of many, and measure them."""
     deployment = deployments["jardim"]._replace(workers=count, entries=1)
-    changes = {"slots": max(32, count)}
+    changes = {"slots": max(32, 2 * count), "timing": LARGE_TIMING}
     fleet = Fleet(deployment, base_port, changes=changes)
     try:
         begun = time.monotonic()
@@ -194,7 +218,7 @@
         await asyncio.sleep(OBSERVE_S)
         cpu = sum(map(process_cpu_s, pids)) - cpu
         sent = increase(before, await replay.counters())
-        reads = (await fleet.get("table", "/stats"))["reads"] - stats["reads"]
+        stats = increase(stats, await fleet.get("table", "/stats"))
         resident = statistics.median(map(resident_mb, pids))
     finally:
         await fleet.close()
@@ -204,7 +228,8 @@
         cpu / OBSERVE_S / count,
         sent["guard:message_bytes{out}"] / OBSERVE_S / count,
         out / OBSERVE_S / count,
-        reads / OBSERVE_S / (count + 1),
+        stats["reads"] / OBSERVE_S / (count + 1),
+        stats["read_bytes"] / OBSERVE_S / (count + 1),
         resident,
         formed_s,
     )
--- a/hawthorntrack/standins/table.py
+++ b/hawthorntrack/standins/table.py
@@ -36,7 +36,7 @@
     def __init__(self) -> None:
         self.table = MemoryTable()
         self.fault: FaultBody = {"mode": "up"}
-        self.counts = {"reads": 0, "writes": 0, "refused": 0}
+        self.counts = {"reads": 0, "read_bytes": 0, "writes": 0, "refused": 0}
 
     def routes(self) -> list[web.RouteDef]:
         """Return the routes of the service and of its faults."""
@@ -64,7 +64,9 @@
         prefix, after = (request.query.get(name) for name in ("prefix", "after"))
         found = await self.table.read(prefix or "", int(after or ABSENT))
         body = {"rows": [row_body(row) for row in found.rows], "total": found.total}
-        return json_response(body)
+        response = json_response(body)
+        self.counts["read_bytes"] += len(response.body)
+        return response
 
     async def write(self, request: web.Request) -> web.Response:
         """Carry out a conditional write; its answer may be lost."""
@@ -94,7 +96,7 @@
         return json_response(fault)
 
     async def stats(self, request: web.Request) -> web.Response:
-        """Return how many calls were served."""
+        """Return how many calls were served, and the bytes of read rows."""
         return json_response(self.counts)
 
 
