--- a/hawthorntrack/coordination/control.py
+++ b/hawthorntrack/coordination/control.py
@@ -246,9 +246,10 @@
         known = {} if whole else self.view.guards
         if not changed:
             return known
-        here, by_address = rows.read_guards(changed), self.departed
-        by_address = {**by_address, **{rows.address_of(row): row for row in changed}}
-        self.departed = {a: row for a, row in by_address.items() if a not in here}
+        here = rows.read_guards(changed)
+        written = {rows.address_of(row): row for row in changed}
+        departed = {**self.departed, **written}
+        self.departed = {a: row for a, row in departed.items() if a not in here}
         guards = {**known, **here}
         return {a: guard for a, guard in guards.items() if a not in self.departed}
 
