--- a/hawthorntrack/experiment/main.py
+++ b/hawthorntrack/experiment/main.py
@@ -98,7 +98,7 @@
     out: str,
 ) -> None:
     """Measure the slopes behind docs/CAPACITY.md; write OUT/slopes.json."""
-    found = asyncio.run(measure_all(list(counts), list(shares), base_port, seconds))
+    found = measure_all(list(counts), list(shares), base_port, seconds)
     folder = Path(out)
     folder.mkdir(parents=True, exist_ok=True)
     text = msgspec.json.format(msgspec.json.encode(found._asdict()))
--- a/hawthorntrack/experiment/slopes.py
+++ b/hawthorntrack/experiment/slopes.py
@@ -290,15 +290,24 @@
     loaded: list[Loaded]
 
 
-async def measure_all(
+async def measure_processes(
+    counts: list[int], shares: list[float], base_port: int, seconds: float
+) -> tuple[list[Idle], list[Loaded]]:
+    """Measure what needs running processes."""
+    idling = [await idle(count, base_port) for count in counts]
+    return idling, await loaded(shares, base_port, seconds)
+
+
+def measure_all(
     counts: list[int], shares: list[float], base_port: int, seconds: float
 ) -> Slopes:
-    """Measure every slope."""
+    """Measure every slope; some pieces run loops of their own."""
+    idling, loads = asyncio.run(measure_processes(counts, shares, base_port, seconds))
     return Slopes(
         {name: bytes_each(memory[name]) for name in memory},
         {name: median_us(costs[name]()) for name in costs},
         len(codecs["msgpack"].encode(beat())),
         row_sizes(),
-        [await idle(count, base_port) for count in counts],
-        await loaded(shares, base_port, seconds),
+        idling,
+        loads,
     )
