Draw the sample of guards once; find an exact row and a job's address in one place

Cause: a reading of the whole change. The heartbeats and the task that asks peers each drew the same sample of all guards by the same call, at every change of the registrations, and each kept its own sign of what it was drawn from. The row of exactly one key was picked from a read by prefix in three places. `job show` and `job cancel` built the same request.

Change, without a change of behaviour: the view carries the sample, drawn by the control task when its guards change (a whole read that finds none clears it now, before it stayed); `Found.row`; `about` in the tool's job commands.

Shown: lint; in four pytest calls side by side, failures and mechanisms, the other tests of coordination, protocol, transport, layers, tool and costs pass. One test of settings met the tool's tests on a port there; state's tests pass alone. The whole suite was not run in one call.

--- a/hawthorntrack/cli/context.py
+++ b/hawthorntrack/cli/context.py
@@ -75,8 +75,8 @@
             for line in lines:
                 click.echo(line)
 
-    async def rows(self, prefix: str) -> tuple[Row, ...]:
-        """Return rows by prefix, or raise that the table does not answer."""
+    async def find(self, prefix: str) -> Found:
+        """Read by prefix, or raise that the table does not answer."""
         outcome = await self.table.read(prefix)
         if isinstance(outcome, Unavailable):
             raise CommandError(
@@ -86,11 +86,15 @@
                 EXIT_UNAVAILABLE,
             )
         assert isinstance(outcome, Found)
-        return outcome.rows
+        return outcome
+
+    async def rows(self, prefix: str) -> tuple[Row, ...]:
+        """Return rows by prefix."""
+        return (await self.find(prefix)).rows
 
     async def row(self, key: str) -> Row | None:
         """Return one row, or None where it is absent."""
-        return next((row for row in await self.rows(key) if row.key == key), None)
+        return (await self.find(key)).row(key)
 
     async def write(self, key: str, expect: int, value: bytes | None) -> WriteOutcome:
         """Write a row and settle a lost answer by reading back.
--- a/hawthorntrack/cli/jobs.py
+++ b/hawthorntrack/cli/jobs.py
@@ -54,6 +54,14 @@
         return msgspec.json.decode(await response.read(), type=dict[str, Any])
 
 
+async def about(
+    context: Context, method: str, service: str, key: str, entry: str | None
+) -> dict[str, Any]:
+    """Return an entry instance's answer on a job that was submitted before."""
+    address = await find_entry(context, entry)
+    return await call(method, f"http://{address}/v1/services/{service}/jobs/{key}", {})
+
+
 def report(context: Context, answer: dict[str, Any]) -> None:
     """Print an answer; exit 1 unless the job is complete or running."""
     lines = [f"{answer['job']}: {answer['status']}"]
@@ -110,9 +118,7 @@
 @command
 async def show(context: Context, service: str, key: str, entry: str | None) -> None:
     """Show what is known of the job with KEY."""
-    address = await find_entry(context, entry)
-    url = f"http://{address}/v1/services/{service}/jobs/{key}"
-    report(context, await call("GET", url, {}))
+    report(context, await about(context, "GET", service, key, entry))
 
 
 @job.command()
@@ -122,9 +128,7 @@
 @command
 async def cancel(context: Context, service: str, key: str, entry: str | None) -> None:
     """Cancel the job with KEY: what has not started never will."""
-    address = await find_entry(context, entry)
-    url = f"http://{address}/v1/services/{service}/jobs/{key}"
-    answer = await call("DELETE", url, {})
+    answer = await about(context, "DELETE", service, key, entry)
     cancelled = answer.get("kind") == "cancelled"
     if cancelled:
         context.show(answer, [f"{key}: cancelled, ran: {answer['ran']}"])
--- a/hawthorntrack/coordination/beats.py
+++ b/hawthorntrack/coordination/beats.py
@@ -2,11 +2,9 @@
 
 from itertools import islice
 
-from hawthorntrack.coordination.membership import in_view
 from hawthorntrack.coordination.pairing import Send
 from hawthorntrack.protocol import local, messages
 from hawthorntrack.state.actor import Actor, handles
-from hawthorntrack.state.control import ControlView
 from hawthorntrack.state.mailbox import Tick
 from hawthorntrack.state.settings import Settings
 from hawthorntrack.state.values import GuardInfo, Incarnation, TargetLoad
@@ -20,7 +18,7 @@
     me : GuardInfo
         This guard.
     settings : Settings
-        Its settings: `view_size` bounds whom it tells, `fanout` how many a time.
+        Its settings: `fanout` says how many it tells at a time.
     send : callable
         Sends a message to an incarnation.
     """
@@ -32,8 +30,7 @@
         self.send = send
         self.loads: tuple[TargetLoad, ...] = ()
         self.partners: frozenset[Incarnation] = frozenset()
-        self.registered: dict[str, GuardInfo] = {}
-        self.others: list[Incarnation] = []
+        self.others: tuple[Incarnation, ...] = ()
         self.turn = 0
         self.draining = False
 
@@ -49,21 +46,8 @@
 
     @handles(local.ViewChanged)
     def take_view(self, change: local.ViewChanged, sender: Incarnation) -> None:
-        """Take the guards in view, drawn anew where any of all has changed."""
-        if change.view.guards is self.registered:
-            return
-        self.registered = change.view.guards
-        self.others = [
-            guard.incarnation
-            for guard in self.sample(change.view)
-            if guard.incarnation != self.me.incarnation
-        ]
-
-    def sample(self, view: ControlView) -> list[GuardInfo]:
-        """Return the guards to tell."""
-        size = self.settings.bounds.view_size
-        subject = str(self.me.incarnation.address)
-        return in_view(self.me.place, view.guards.values(), size, subject)
+        """Take the guards to tell."""
+        self.others = change.view.neighbours
 
     @handles(local.Drain)
     def drain(self, drain: local.Drain, sender: Incarnation) -> None:
--- a/hawthorntrack/coordination/control.py
+++ b/hawthorntrack/coordination/control.py
@@ -130,7 +130,6 @@
         self.rng = rng
         self.view = ControlView()
         self.departed: dict[str, Row] = {}
-        self.neighbours: list[Incarnation] = []
         self.registration = Registration()
         self.registering = False
         environment = settings.environment
@@ -227,8 +226,8 @@
             changed = rows.read_slots(merged.changed)
             return self.view._replace(slots={**known, **changed} if changed else known)
         view = self.view._replace(guards=self.registered(merged.changed, whole))
-        if merged.changed:
-            self.neighbours = self.drawn(view.guards.values())
+        if view.guards is not self.view.guards:
+            view = view._replace(neighbours=self.drawn(view.guards.values()))
         if self.watched and answer.sent_at >= self.registration.settled_at:
             self.check_own(view.guards.get(self.me.incarnation.address))
         return view
@@ -253,11 +252,11 @@
         guards = {**known, **here}
         return {a: guard for a, guard in guards.items() if a not in self.departed}
 
-    def drawn(self, guards: Iterable[GuardInfo]) -> list[Incarnation]:
-        """Return the guards to ask, a sample of all."""
+    def drawn(self, guards: Iterable[GuardInfo]) -> tuple[Incarnation, ...]:
+        """Return the guards to tell and to ask, a sample of all others."""
         size, me = self.settings.bounds.view_size, self.me.incarnation
         sample = in_view(self.me.place, guards, size, me.address)
-        return [guard.incarnation for guard in sample if guard.incarnation != me]
+        return tuple(guard.incarnation for guard in sample if guard.incarnation != me)
 
     def sweep(self) -> None:
         """Delete the rows of departed guards once they are many.
@@ -322,8 +321,8 @@
         with a poll, what counts is when this process asked, so that answers which
         waited through a freeze make no view fresh.
         """
-        peers = min(PEERS_AT_ONCE, len(self.neighbours))
-        for peer in self.rng.sample(self.neighbours, peers):
+        known = self.view.neighbours
+        for peer in self.rng.sample(known, min(PEERS_AT_ONCE, len(known))):
             self.ask(peer)
 
     @handles(messages.AskConfig)
--- a/hawthorntrack/experiment/launcher.py
+++ b/hawthorntrack/experiment/launcher.py
@@ -24,7 +24,7 @@
 )
 from hawthorntrack.experiment.relays import Relays
 from hawthorntrack.protocol.rows import document_key, write_document
-from hawthorntrack.state.table import Written
+from hawthorntrack.state.table import ABSENT, Written
 from hawthorntrack.transport.table_client import HttpTable
 
 ENVIRONMENT = "production"
@@ -262,9 +262,8 @@
     async def write_row(self, key: str, value: bytes) -> int:
         """Write a row over whatever stands there; return its version."""
         while True:
-            found = (await self.table.read(key)).rows
-            exact = [row for row in found if row.key == key]
-            expect = exact[0].version if exact else 0
+            row = (await self.table.read(key)).row(key)
+            expect = row.version if row else ABSENT
             outcome = await self.table.write(key, expect, value)
             if isinstance(outcome, Written):
                 return outcome.version
--- a/hawthorntrack/experiment/replay.py
+++ b/hawthorntrack/experiment/replay.py
@@ -178,8 +178,8 @@
     async def change_zones(self, change: Callable[[set[str]], set[str]]) -> float:
         """Write the zones out of service; return the Unix time of the write."""
         key = zones_key(ENVIRONMENT)
-        found = [r for r in (await self.fleet.table.read(key)).rows if r.key == key]
-        out = set(read_zones(found[0])) if found else set()
+        row = (await self.fleet.table.read(key)).row(key)
+        out = set(read_zones(row)) if row else set()
         await self.fleet.write_row(key, write_zones(change(out)))
         return time.time()
 
--- a/hawthorntrack/state/control.py
+++ b/hawthorntrack/state/control.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from hawthorntrack.state.documents import Document
-from hawthorntrack.state.values import GuardInfo, SlotRow
+from hawthorntrack.state.values import GuardInfo, Incarnation, SlotRow
 
 
 class Config(NamedTuple):
@@ -28,6 +28,8 @@
     ----------
     stamp : int
         Highest table version among the configuration rows; it only grows.
+    neighbours : tuple of Incarnation
+        The guards that this process tells and asks, a sample of all others.
     confirmed_at : float
         Loop time at which the newest successful poll was sent, by this process or by
         a peer that told what it found, in seconds.
@@ -40,6 +42,7 @@
     zones_out: frozenset[str] = frozenset()
     guards: dict[str, GuardInfo] = {}
     slots: dict[int, SlotRow] = {}
+    neighbours: tuple[Incarnation, ...] = ()
     confirmed_at: float = float("-inf")
     failed_at: float = float("-inf")
 
--- a/hawthorntrack/state/table.py
+++ b/hawthorntrack/state/table.py
@@ -50,6 +50,10 @@
     rows: tuple[Row, ...]
     total: int
 
+    def row(self, key: str) -> Row | None:
+        """Return the row of exactly this key, or None where it is absent."""
+        return next((row for row in self.rows if row.key == key), None)
+
 
 @dataclass(frozen=True)
 class Unavailable:
