--- /dev/null
+++ b/hawthorntrack/coordination/leases.py
@@ -0,0 +1,81 @@
+"""Decisions on leases of a target, and on how long a run's owner is trusted.
+
+A lease covers everything that runs on a target, and only the guard beside it renews
+it. So a guard that has lost touch with the owner of a run stops that run itself, in
+time for the caller's next attempt elsewhere.
+"""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+LEASE_S = 0.9  # under the longest lease that targets grant, 1 s
+CLOCK_SLACK = 1.03  # targets' clocks are up to 2% slow
+TRUST_S = 0.6  # three pulses; a caller sends again 1.3 s after a broken connection
+RELINK_S = 0.25  # for a broken link to be made anew
+STOP_S = 0.1  # twice what a target takes to stop a run
+FIRST_TOKEN_STEP = 1_000
+
+
+class TargetClock(NamedTuple):
+    """A reading of a target's clock.
+
+    Attributes
+    ----------
+    clock_ms : int
+        What it showed.
+    read_at : float
+        Our time when the answer arrived, in seconds: a bound from below.
+    """
+
+    clock_ms: int
+    read_at: float
+
+
+def lease_until(clock: TargetClock, now: float) -> int:
+    """Return until when to lease, on the target's clock.
+
+    Examples
+    --------
+    >>> lease_until(TargetClock(50_000, 10.0), 10.5)
+    51400
+    """
+    return round(clock.clock_ms + (now - clock.read_at + LEASE_S) * 1000)
+
+
+def lapsed_by(last_sent: float) -> float:
+    """Return when all runs have lapsed if no order after `last_sent` arrived."""
+    return last_sent + LEASE_S * CLOCK_SLACK + STOP_S
+
+
+def gone_by(last_pulse: float) -> float:
+    """Return when an owner's runs at a silent guard are certainly gone.
+
+    Explanation
+    -----------
+    The owner vouches for the stamps of pulses only, so the guard's trust ends
+    `TRUST_S` after the newest pulse the owner has seen. The guard may then have
+    renewed a lease just before, and been suspended right after.
+    """
+    return lapsed_by(last_pulse + TRUST_S)
+
+
+def untrusted(trusted_until: Mapping[str, float], now: float) -> set[str]:
+    """Return the owners whose trust has run out."""
+    return {owner for owner, until in trusted_until.items() if until <= now}
+
+
+def next_token(token: int, refusals: int) -> int:
+    """Return a higher fencing token after so many refusals in a row.
+
+    Explanation
+    -----------
+    Tokens begin at the time of day, which may have been set back since the guard's
+    last life. The target alone remembers the highest one; doubling steps pass any
+    such difference in a few orders, without the store.
+
+    Examples
+    --------
+    >>> next_token(5_000, 1), next_token(5_000, 4)
+    (6000, 13000)
+    """
+    return token + FIRST_TOKEN_STEP * 2 ** (refusals - 1)
--- /dev/null
+++ b/hawthorntrack/coordination/progress.py
@@ -0,0 +1,150 @@
+"""How far a job in steps has come."""
+
+import asyncio
+
+from hawthorntrack.coordination.waiting import objective_s, patience_s
+from hawthorntrack.state.catalogue import Queue
+from hawthorntrack.state.plans import JobPlan, RunName, StepSpec, TaskName
+
+BLOCKED = "blocked"  # steps before it are not done
+WAITING = "waiting"
+PLACED = "placed"
+DONE = "done"
+
+
+class Task:
+    """One task of a job at its dispatcher.
+
+    Attributes
+    ----------
+    number : int
+        The lowest number that its next run may have.
+    guard, guard_life : str
+        Where it is placed, empty otherwise, and in which life of that guard.
+    avoid : frozenset of str
+        Guards where it failed.
+    """
+
+    __slots__ = (
+        "avoid",
+        "failures",
+        "guard",
+        "guard_life",
+        "name",
+        "number",
+        "phase",
+        "step",
+    )
+
+    def __init__(self, name: TaskName, step: StepSpec) -> None:
+        self.name = name
+        self.step = step
+        self.phase = BLOCKED
+        self.number = 1
+        self.failures = 0
+        self.guard = ""
+        self.guard_life = ""
+        self.avoid: frozenset[str] = frozenset()
+
+    @property
+    def run(self) -> RunName:
+        """Return the run that is asked for next, or was asked for last."""
+        return RunName(self.name, self.number)
+
+
+def longest_chain_s(steps: tuple[StepSpec, ...]) -> float:
+    """Return the sum of declared run times along the longest chain of steps.
+
+    Examples
+    --------
+    >>> from hawthorntrack.state.resources import NOTHING
+    >>> steps = (StepSpec(2, NOTHING, 0.4), StepSpec(1, NOTHING, 0.2, (0,)))
+    >>> round(longest_chain_s(steps), 3)
+    0.6
+    """
+    ends: list[float] = []
+    for step in steps:
+        before = max((ends[number] for number in step.after), default=0.0)
+        ends.append(before + step.estimate_s)
+    return max(ends, default=0.0)
+
+
+class Job:
+    """A job that its caller waits for.
+
+    Attributes
+    ----------
+    replies : list of Future
+        One for each submission that waits for the answer.
+    patient_until : float
+        When it is refused if none of its tasks has been placed.
+    useless_at : float
+        When its caller gives up.
+    suspended : bool
+        Whether this process stood still while the job was open: the caller may
+        have sent it elsewhere, so nothing more of it is started.
+    """
+
+    def __init__(
+        self,
+        plan: JobPlan,
+        queue: Queue,
+        reply: asyncio.Future,
+        now: float,
+        deadline_s: float,
+    ) -> None:
+        self.plan = plan
+        self.queue = queue
+        self.replies = [reply]
+        self.arrived = now
+        self.objective = objective_s(
+            longest_chain_s(plan.steps), queue.stretch, queue.latency_target_s
+        )
+        self.patient_until = now + patience_s(self.objective)
+        self.useless_at = now + deadline_s
+        self.begun = False
+        self.suspended = False
+        self.tasks = {
+            name: Task(name, step)
+            for number, step in enumerate(plan.steps)
+            for name in (
+                TaskName(plan.key, 0, number, index) for index in range(step.count)
+            )
+        }
+        self.undone = [step.count for step in plan.steps]
+        self.release_ready()
+
+    def release_ready(self) -> None:
+        """Let the tasks wait for a place whose earlier steps are done."""
+        open_steps = {
+            number
+            for number, step in enumerate(self.plan.steps)
+            if not any(self.undone[before] for before in step.after)
+        }
+        for task in self.tasks.values():
+            if task.phase == BLOCKED and task.name.step in open_steps:
+                task.phase = WAITING
+
+    def waiting(self) -> list[Task]:
+        """Return the tasks that wait for a place."""
+        return [task for task in self.tasks.values() if task.phase == WAITING]
+
+    def complete_task(self, task: Task) -> None:
+        """Count a task as done."""
+        task.phase, task.guard = DONE, ""
+        self.undone[task.name.step] -= 1
+        if not self.undone[task.name.step]:
+            self.release_ready()
+
+    @property
+    def complete(self) -> bool:
+        """Return whether all tasks are done."""
+        return not any(self.undone)
+
+    @property
+    def work(self) -> float:
+        """Return the declared work in core-seconds."""
+        return sum(
+            step.count * step.need.cpu_m / 1000 * step.estimate_s
+            for step in self.plan.steps
+        )
--- /dev/null
+++ b/hawthorntrack/coordination/sessions.py
@@ -0,0 +1,113 @@
+"""What a guard knows of one life of a target and the runs on it."""
+
+from hawthorntrack.coordination.leases import TargetClock
+from hawthorntrack.protocol.dispatch import RunOrder
+from hawthorntrack.protocol.orders import Address
+from hawthorntrack.state.plans import RunName, TargetState, TaskName
+from hawthorntrack.state.resources import NOTHING, Resources
+
+STARTING = "starting"  # a start is on its way
+UNSURE = "unsure"  # a start got no answer; the next list of runs tells
+RUNNING = "running"
+STOPPING = "stopping"  # a stop is on its way, or must be sent again
+
+
+class Run:
+    """One run at the target.
+
+    Attributes
+    ----------
+    order : RunOrder
+        As its owner asked for it.
+    name : RunName
+        With the number it was started under.
+    owner : str
+        Address of the entry instance that wants it.
+    useless_at : float
+        When its caller gives up, in seconds of the guard's clock.
+    """
+
+    __slots__ = (
+        "began_at",
+        "moved_at",
+        "name",
+        "order",
+        "owner",
+        "payload",
+        "percent",
+        "phase",
+        "tries",
+        "useless_at",
+        "why",
+    )
+
+    def __init__(
+        self,
+        order: RunOrder,
+        name: RunName,
+        owner: str,
+        payload: str,
+        useless_at: float,
+        now: float,
+    ) -> None:
+        self.order = order
+        self.name = name
+        self.owner = owner
+        self.payload = payload
+        self.useless_at = useless_at
+        self.phase = STARTING
+        self.began_at = now
+        self.moved_at = now
+        self.percent = 0
+        self.tries = 0
+        self.why = ""
+
+
+class TargetSession:
+    """One life of a target.
+
+    Attributes
+    ----------
+    token : int
+        Fencing token of the next order.
+    ends_seen : int
+        Number of the last end that was taken in.
+    last_sent : float
+        When the last order that renews the lease was sent; 0.0 before the first.
+    verified : bool
+        Whether a list of runs has shown that none of an earlier guard is left.
+    """
+
+    def __init__(self, state: TargetState, token: int, now: float) -> None:
+        self.state = state
+        self.clock = TargetClock(state.clock_ms, now)
+        self.token = token
+        self.fenced = 0
+        self.runs: dict[TaskName, Run] = {}
+        self.ends_seen = 0
+        self.ends_acknowledged = 0
+        self.holding = False
+        self.last_sent = 0.0
+        self.heard_at = now
+        self.failures = 0
+        self.retry_at = 0.0
+        self.verified = False
+        self.foreign: set[RunName] = set()
+
+    @property
+    def target(self) -> Address:
+        """Return where orders go."""
+        return Address(self.state.life, self.state.address)
+
+    @property
+    def free(self) -> Resources:
+        """Return the room that no run occupies."""
+        taken = NOTHING
+        for run in self.runs.values():
+            taken = taken.plus(run.order.need)
+        return self.state.capacity.minus(taken)
+
+    def read_clock(self, clock_ms: int, now: float) -> None:
+        """Take a reading of the target's clock."""
+        if clock_ms:
+            self.clock = TargetClock(clock_ms, now)
--- /dev/null
+++ b/hawthorntrack/coordination/waiting.py
@@ -0,0 +1,86 @@
+"""Decisions on how jobs wait: in which order, how long, and when to come back.
+
+Load pattern: arrivals above capacity for seconds, in kinds whose jobs differ
+hundredfold in work. Without a bound on waiting, every job is late; without shares,
+the kind with the most work takes what the others need.
+"""
+
+import math
+from collections.abc import Iterable, Mapping
+
+WAIT_SHARE = 0.25  # of the objective; a refusal after that helps no caller
+LEAST_WAIT_S = 0.03  # two round trips between zones and a guard's answer
+RETRY_LEAST_S = 1
+RETRY_MOST_S = 5
+
+
+def objective_s(longest_chain_s: float, stretch: float, target_s: float) -> float:
+    """Return the time within which a job should be answered.
+
+    Examples
+    --------
+    >>> objective_s(0.5, 1.6, 0.06)
+    0.86
+    """
+    return longest_chain_s * stretch + target_s
+
+
+def patience_s(objective: float) -> float:
+    """Return how long a job may wait before its first task is placed."""
+    return max(LEAST_WAIT_S, objective * WAIT_SHARE)
+
+
+def retry_after_s(waiting: int, answered_per_s: float) -> int:
+    """Return when a caller should come back, in whole seconds.
+
+    Explanation
+    -----------
+    The time in which what waits now will have been answered, at the rate measured
+    lately.
+
+    Examples
+    --------
+    >>> retry_after_s(20, 10.0), retry_after_s(0, 0.0)
+    (2, 1)
+    """
+    if answered_per_s <= 0:
+        return RETRY_LEAST_S
+    wait = math.ceil(waiting / answered_per_s)
+    return min(RETRY_MOST_S, max(RETRY_LEAST_S, wait))
+
+
+class FairShares:
+    """Equal shares of capacity among queues.
+
+    Explanation
+    -----------
+    Each queue has a virtual time that grows by the work placed for it; the queue
+    with the lowest goes first. What one queue does not use, the others get. A
+    queue that was idle starts level with the lowest of those that wait.
+
+    Examples
+    --------
+    >>> shares = FairShares()
+    >>> shares.charge("visits", 30.0)
+    >>> shares.charge("checks", 10.0)
+    >>> shares.lowest({"visits": 1, "checks": 2})
+    'checks'
+    """
+
+    def __init__(self) -> None:
+        self.spent: dict[str, float] = {}
+        self.level = 0.0
+
+    def lowest(self, queues: Iterable[str] | Mapping[str, object]) -> str:
+        """Return the queue that goes first."""
+        return min(queues, key=lambda name: (self.spent.get(name, self.level), name))
+
+    def charge(self, queue: str, work: float) -> None:
+        """Count work placed for a queue."""
+        self.spent[queue] = max(self.spent.get(queue, 0.0), self.level) + work
+
+    def settle(self, waiting: Iterable[str]) -> None:
+        """Raise the level to the lowest queue that waits."""
+        lowest = [self.spent.get(name, self.level) for name in waiting]
+        if lowest:
+            self.level = max(self.level, min(lowest))
--- /dev/null
+++ b/hawthorntrack/daemon/noded.py
@@ -0,0 +1,48 @@
+"""``hawthorntrack-node``: one process on the users' platform."""
+
+import asyncio
+import os
+import sys
+
+import click
+
+from hawthorntrack.daemon.logs import begin_log
+from hawthorntrack.daemon.node import run_entry_node, run_guard_node
+from hawthorntrack.state.checking import InvalidInput
+from hawthorntrack.state.node import load_node_settings
+from hawthorntrack.state.registry import Registry
+
+EXIT_BAD_SETTINGS = 2
+
+roles: Registry = Registry("role")
+roles.register("entry")(run_entry_node)
+roles.register("guard")(run_guard_node)
+
+
+@click.command()
+@click.argument("role", type=click.Choice(roles.names()))
+@click.option(
+    "--settings",
+    "path",
+    envvar="HAWTHORNTRACK_BOOT",
+    required=True,
+    type=click.Path(),
+    help="YAML settings of this process; docs/OPERATIONS.md lists the keys.",
+)
+@click.option("--check", is_flag=True, help="Check the settings and exit.")
+def main(role: str, path: str, check: bool) -> None:
+    """Run an entry instance, or the guard of the target on this machine."""
+    try:
+        settings = load_node_settings(path)
+    except InvalidInput as error:
+        click.echo(f"hawthorntrack-node: {error}", err=True)
+        sys.exit(EXIT_BAD_SETTINGS)
+    if check:
+        click.echo(f"{path}: settings are in order")
+        return
+    begin_log(settings.log)
+    asyncio.run(roles[role](settings, os.fspath(path)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/hawthorntrack/platform/front.py
@@ -0,0 +1,209 @@
+"""Callers' requests, and the balancer's question whether to send any."""
+
+import asyncio
+from typing import Any
+
+from aiohttp import web
+
+from hawthorntrack.platform.formats import Malformed, plan_of
+from hawthorntrack.platform.targets import json_response
+from hawthorntrack.protocol.jobs import (
+    CallerLeft,
+    CancelPlan,
+    CountWaiting,
+    LookUpPlan,
+    SubmitPlan,
+)
+from hawthorntrack.state.mailbox import Mailbox
+from hawthorntrack.state.metrics import BAD_INPUT, labelled
+from hawthorntrack.state.registry import Registry
+from hawthorntrack.state.verdicts import (
+    Abandoned,
+    BadJob,
+    Completed,
+    JobFailed,
+    JobState,
+    NoQueue,
+    Refused,
+    UnknownJob,
+)
+
+DEADLINE_HEADER = "Hawthorntrack-Deadline-Ms"
+DEFAULT_DEADLINE_S = 30.0
+KEY_DIGITS = 16
+HEX = frozenset("0123456789abcdefABCDEF")
+READY_PATH = "/v1/ready"
+BODY_TIMEOUT_S = 5.0
+
+responses: Registry[Any] = Registry("response to a verdict")
+
+
+def responds_to(kind: type) -> Any:
+    """Register a function as the one that puts a verdict into a response."""
+    return responses.register(kind.__name__)
+
+
+@responds_to(Completed)
+def completed(verdict: Completed) -> web.Response:
+    """Answer with the state of a job that has ended well."""
+    return json_response({"state": "completed"})
+
+
+@responds_to(JobFailed)
+def job_failed(verdict: JobFailed) -> web.Response:
+    """Answer with the state of a job that cannot be done."""
+    return json_response({"state": "failed"})
+
+
+@responds_to(JobState)
+def job_state(verdict: JobState) -> web.Response:
+    """Answer with the state of a job."""
+    return json_response({"state": verdict.state})
+
+
+@responds_to(Refused)
+def refused(verdict: Refused) -> web.Response:
+    """Tell the caller that the job never runs, and when to come back."""
+    status = 429 if verdict.overloaded else 503
+    headers = {"Retry-After": str(verdict.retry_after_s)}
+    return json_response({"error": verdict.reason}, status, headers)
+
+
+@responds_to(Abandoned)
+def abandoned(verdict: Abandoned) -> web.Response:
+    """Tell the caller that the job may have run in part."""
+    return json_response({"error": verdict.reason}, 504)
+
+
+@responds_to(NoQueue)
+def no_queue(verdict: NoQueue) -> web.Response:
+    """Tell the caller that no queue has this host and path."""
+    return json_response({"error": "no_such_queue"}, 404)
+
+
+@responds_to(BadJob)
+def bad_job(verdict: BadJob) -> web.Response:
+    """Tell the caller what is wrong with the body."""
+    return json_response({"error": verdict.problem}, 400)
+
+
+@responds_to(UnknownJob)
+def unknown_job(verdict: UnknownJob) -> web.Response:
+    """Tell the caller that no such job is known."""
+    return json_response({"error": "no_such_job"}, 410)
+
+
+@responds_to(int)
+def count(waiting: int) -> web.Response:
+    """Answer with the number of jobs that wait."""
+    return json_response({"waiting": waiting})
+
+
+def key_of(path: str) -> str:
+    """Return the job's key at the end of a path; empty if there is none.
+
+    Examples
+    --------
+    >>> key_of("/lohu930/5c0e7a21d94b36f8"), key_of("/lohu930/")
+    ('5c0e7a21d94b36f8', '')
+    """
+    key = path[-KEY_DIGITS:]
+    return key if len(key) == KEY_DIGITS and HEX.issuperset(key) else ""
+
+
+def deadline_of(request: web.BaseRequest) -> float:
+    """Return how long the caller waits, in seconds."""
+    try:
+        return int(request.headers[DEADLINE_HEADER]) / 1000
+    except (KeyError, ValueError):
+        return DEFAULT_DEADLINE_S
+
+
+class CallersFront:
+    """Turns callers' requests into messages to the dispatcher.
+
+    Parameters
+    ----------
+    dispatcher : Mailbox
+        Takes the messages.
+    """
+
+    def __init__(self, dispatcher: Mailbox) -> None:
+        self.dispatcher = dispatcher
+        self.closing = False
+        self.body_bytes = 262_144
+
+    async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        reply = asyncio.get_running_loop().create_future()
+        message = await self.message(request, reply)
+        if isinstance(message, web.Response):
+            return message
+        if not self.dispatcher.post(message):
+            reply.set_result(Refused("mailbox_full", 1))
+        try:
+            verdict = await reply
+        except asyncio.CancelledError:
+            if isinstance(message, SubmitPlan) and message.plan is not None:
+                self.dispatcher.put(CallerLeft(message.plan.key, reply))
+            raise
+        response = responses[type(verdict).__name__](verdict)
+        if self.closing:
+            response.force_close()
+        return response
+
+    async def message(self, request: web.BaseRequest, reply: asyncio.Future) -> Any:
+        """Return the message that a request stands for, or a refusal."""
+        host, path = request.host, request.path
+        key = key_of(path)
+        if request.method == "POST":
+            return await self.submission(request, host, path, key, reply)
+        if request.method == "GET":
+            if key:
+                return LookUpPlan(host, path, key, reply)
+            return CountWaiting(host, path, reply)
+        if request.method == "DELETE":
+            return CancelPlan(host, path, key, reply)
+        return json_response({"error": "method_not_allowed"}, 405)
+
+    async def submission(
+        self,
+        request: web.BaseRequest,
+        host: str,
+        path: str,
+        key: str,
+        reply: asyncio.Future,
+    ) -> Any:
+        """Return the submission that a request carries."""
+        if (request.content_length or 0) > self.body_bytes:
+            labelled(BAD_INPUT, "callers", "body_size").inc()
+            return json_response({"error": "body_too_large"}, 413)
+        try:
+            async with asyncio.timeout(BODY_TIMEOUT_S):
+                body = await request.read()
+        except TimeoutError:
+            return json_response({"error": "body_not_received"}, 408)
+        except web.HTTPRequestEntityTooLarge:
+            labelled(BAD_INPUT, "callers", "body_size").inc()
+            return json_response({"error": "body_too_large"}, 413)
+        plan, problem = None, "no_key_of_16_hexadecimal_digits"
+        if key:
+            try:
+                plan = plan_of(key, body)
+            except Malformed as error:
+                labelled(BAD_INPUT, "callers", "body").inc()
+                problem = str(error)
+        return SubmitPlan(host, path, plan, problem, deadline_of(request), reply)
+
+
+class ReadyFront:
+    """Tells the platform's balancer whether to send connections."""
+
+    def __init__(self) -> None:
+        self.ready = False
+
+    async def answer(self, request: web.BaseRequest) -> web.Response:
+        """Answer 200 while jobs are taken."""
+        if request.path != READY_PATH:
+            return web.Response(status=404)
+        return web.Response(status=200 if self.ready else 503)
--- /dev/null
+++ b/hawthorntrack/platform/store.py
@@ -0,0 +1,126 @@
+"""Calls to the platform's metadata store."""
+
+import asyncio
+
+import aiohttp
+
+from hawthorntrack.platform.formats import Malformed, page_of, write_body
+from hawthorntrack.state.directives import StoreRow
+from hawthorntrack.state.metrics import TABLE_CALLS, labelled
+from hawthorntrack.state.store import Changes, HistoryGone, Unavailable
+
+CALL_TIMEOUT_S = 0.6  # a hundred times the store's usual answer
+BUSY = {429: "limited", 503: "busy"}
+ERRORS = (aiohttp.ClientError, TimeoutError, OSError, Malformed)
+JSON_HEADERS = {"Content-Type": "application/json"}
+KEEPALIVE_S = 60.0
+
+
+class PlatformStore:
+    """The store at one address.
+
+    Explanation
+    -----------
+    A call without an answer closes its connection: on one that has lost an answer
+    nothing more arrives.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port`` of the store.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.base = f"http://{address}"
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=4, keepalive_timeout=KEEPALIVE_S, use_dns_cache=False
+            ),
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+        )
+
+    async def call(
+        self, method: str, path: str, timeout_s: float, **options: object
+    ) -> tuple[int, bytes]:
+        """Return status and body of one call."""
+        async with (
+            asyncio.timeout(timeout_s),
+            self.session.request(method, self.base + path, **options) as response,
+        ):
+            return response.status, await response.read()
+
+    async def read(self, table: str) -> Changes | Unavailable:
+        """Return all rows of a table, page by page."""
+        rows: list[StoreRow] = []
+        start, version = "", None
+        while True:
+            params = {"table": table, "part": ""} | ({"from": start} if start else {})
+            try:
+                status, body = await self.call(
+                    "GET", "/v1/rows-get", CALL_TIMEOUT_S, params=params
+                )
+                if status != 200:
+                    return self.unavailable("read", status)
+                page, more = page_of(body)
+            except ERRORS as error:
+                return self.failed("read", error)
+            # The first page's version: what changes between pages is watched again.
+            version = page.version if version is None else version
+            rows += page.rows
+            if not more or not page.rows:
+                labelled(TABLE_CALLS, "read", "ok").inc()
+                return Changes(tuple(rows), version)
+            start = page.rows[-1].key + "\0"
+
+    async def watch(
+        self, table: str, after: int, wait_s: float
+    ) -> Changes | HistoryGone | Unavailable:
+        """Return what changed after a version, within the wait."""
+        params = {"table": table, "after": after, "wait_ms": round(wait_s * 1000)}
+        try:
+            status, body = await self.call(
+                "GET", "/v1/rows-feed", wait_s + CALL_TIMEOUT_S, params=params
+            )
+            if status == 410:
+                labelled(TABLE_CALLS, "watch", "gone").inc()
+                return HistoryGone()
+            if status != 200:
+                return self.unavailable("watch", status)
+            page, _ = page_of(body)
+        except ERRORS as error:
+            return self.failed("watch", error)
+        labelled(TABLE_CALLS, "watch", "ok").inc()
+        return page
+
+    async def put(self, table: str, key: str, value: bytes) -> Unavailable | None:
+        """Write one row, whatever it holds."""
+        try:
+            status, _ = await self.call(
+                "POST",
+                "/v1/rows-tx",
+                CALL_TIMEOUT_S,
+                data=write_body(table, key, value),
+                headers=JSON_HEADERS,
+            )
+        except ERRORS as error:
+            return self.failed("put", error)
+        if status != 200:
+            return self.unavailable("put", status)
+        labelled(TABLE_CALLS, "put", "ok").inc()
+        return None
+
+    def unavailable(self, call: str, status: int) -> Unavailable:
+        """Return the outcome of a call that was turned away."""
+        reason = BUSY.get(status, f"status_{status}")
+        labelled(TABLE_CALLS, call, reason).inc()
+        return Unavailable(reason)
+
+    def failed(self, call: str, error: BaseException) -> Unavailable:
+        """Return the outcome of a call without a usable answer."""
+        reason = "malformed" if isinstance(error, Malformed) else "unanswered"
+        labelled(TABLE_CALLS, call, reason).inc()
+        return Unavailable(reason)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self.session.close()
--- /dev/null
+++ b/hawthorntrack/platform/targets.py
@@ -0,0 +1,234 @@
+"""Orders to the target beside a guard, and the heartbeats that it sends."""
+
+import asyncio
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from hawthorntrack.platform.formats import (
+    Malformed,
+    decode_json,
+    encode_json,
+    lists_of,
+    target_state_of,
+    task_text,
+)
+from hawthorntrack.protocol.orders import (
+    Address,
+    Announced,
+    Departed,
+    HoldOrder,
+    HoldReply,
+    StartOrder,
+    StartReply,
+    StopOrder,
+    StopReply,
+)
+from hawthorntrack.state.actor import Actor, handles
+from hawthorntrack.state.mailbox import Mailbox
+from hawthorntrack.state.metrics import BAD_INPUT, labelled
+from hawthorntrack.state.values import Incarnation
+
+ORDER_TIMEOUT_S = 0.25
+CONNECTIONS = 12
+KEEPALIVE_S = 60.0
+BEATS_PATH = "/v1/executors/"
+INSTANCE_HEADER = "Hawthorntrack-Expected-Instance"
+REFUSALS_BY_REASON = {
+    "fence": "fenced",
+    "old": "old_run",
+    "late": "late",
+    "room": "no_room",
+    "ticket": "invalid",
+}
+REFUSALS_BY_STATUS = {400: "invalid", 421: "other_life", 429: "unwell", 503: "unwell"}
+ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
+
+
+class TargetCalls(Actor):
+    """Owns the connections to the target.
+
+    Parameters
+    ----------
+    replies : Mailbox
+        Takes the reply to each order.
+    """
+
+    def __init__(self, replies: Mailbox) -> None:
+        super().__init__()
+        self.replies = replies
+        self.session: aiohttp.ClientSession | None = None
+
+    async def run(self) -> None:
+        """Carry orders out until cancelled."""
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=CONNECTIONS, keepalive_timeout=KEEPALIVE_S, use_dns_cache=False
+            ),
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+        )
+        try:
+            await super().run()
+        finally:
+            await self.session.close()
+
+    @handles(StartOrder)
+    def start(self, order: StartOrder, sender: Incarnation) -> None:
+        """Send a start."""
+        self.spawn(self.order_start(order))
+
+    @handles(StopOrder)
+    def stop(self, order: StopOrder, sender: Incarnation) -> None:
+        """Send a stop."""
+        self.spawn(self.order_stop(order))
+
+    @handles(HoldOrder)
+    def hold(self, order: HoldOrder, sender: Incarnation) -> None:
+        """Send a hold."""
+        self.spawn(self.order_hold(order))
+
+    async def post(
+        self, target: Address, path: str, body: dict[str, Any], timeout_s: float
+    ) -> tuple[int, bytes]:
+        """Return status and body of one call."""
+        async with (
+            asyncio.timeout(timeout_s),
+            self.session.post(
+                f"http://{target.address}{path}",
+                data=encode_json(body),
+                headers={
+                    "Content-Type": "application/json",
+                    INSTANCE_HEADER: target.life.id,
+                },
+            ) as response,
+        ):
+            return response.status, await response.read()
+
+    async def order_start(self, order: StartOrder) -> None:
+        """Start a run and report what came of it."""
+        body = {
+            "task": task_text(order.name.task),
+            "run": order.name.run,
+            "spec": order.payload,
+            "deadline_ms": order.lease_ms,
+            "fencing_token": order.token,
+        }
+        outcome, clock_ms = await self.outcome(
+            order.target, "/v1/run-start", body, "started"
+        )
+        self.replies.put(StartReply(order, outcome, clock_ms))
+
+    async def order_stop(self, order: StopOrder) -> None:
+        """Stop a run and report what came of it."""
+        body = {
+            "task": task_text(order.name.task),
+            "run": order.name.run,
+            "fencing_token": order.token,
+        }
+        outcome, clock_ms = await self.outcome(
+            order.target, "/v1/run-stop", body, "stopped"
+        )
+        self.replies.put(StopReply(order, outcome, clock_ms))
+
+    async def outcome(
+        self, target: Address, path: str, body: dict[str, Any], success: str
+    ) -> tuple[str, int]:
+        """Return what came of an order, and the target's clock."""
+        try:
+            status, data = await self.post(target, path, body, ORDER_TIMEOUT_S)
+        except aiohttp.ClientConnectorError:
+            return "unreachable", 0
+        except ERRORS:
+            return "unanswered", 0
+        answer = fields_of(data)
+        clock_ms = int(answer.get("clock_ms", 0))
+        if status == 200:
+            return success, clock_ms
+        if status == 409:
+            reason = str(answer.get("reason", ""))
+            return REFUSALS_BY_REASON.get(reason, "invalid"), clock_ms
+        return REFUSALS_BY_STATUS.get(status, "unwell"), clock_ms
+
+    async def order_hold(self, order: HoldOrder) -> None:
+        """Renew the lease and report the lists."""
+        body: dict[str, Any] = {
+            "fencing_token": order.token,
+            "acked_upto": order.ends_seen,
+        }
+        if order.lease_ms is not None:
+            body["deadline_ms"] = order.lease_ms
+        if order.wait_s:
+            body["wait_ms"] = round(order.wait_s * 1000)
+        try:
+            status, data = await self.post(
+                order.target, "/v1/hold", body, order.wait_s + ORDER_TIMEOUT_S
+            )
+            if status == 200:
+                clock_ms, born_ms, running, ended = lists_of(data)
+                reply = HoldReply(order, "held", clock_ms, born_ms, running, ended)
+            elif status == 409:
+                reason = str(fields_of(data).get("reason", ""))
+                reply = HoldReply(order, REFUSALS_BY_REASON.get(reason, "unwell"))
+            else:
+                reply = HoldReply(order, REFUSALS_BY_STATUS.get(status, "unwell"))
+        except aiohttp.ClientConnectorError:
+            reply = HoldReply(order, "unreachable")
+        except ERRORS:
+            reply = HoldReply(order, "unanswered")
+        except Malformed:
+            labelled(BAD_INPUT, "target", "lists").inc()
+            reply = HoldReply(order, "unanswered")
+        self.replies.put(reply)
+
+
+def fields_of(data: bytes) -> dict[str, Any]:
+    """Return the fields of a short answer; an unreadable one has none."""
+    try:
+        answer = decode_json(data)
+    except ValueError:
+        labelled(BAD_INPUT, "target", "answer").inc()
+        return {}
+    return answer if isinstance(answer, dict) else {}
+
+
+class HeartbeatFront:
+    """Takes the announcements of the target beside this guard.
+
+    Parameters
+    ----------
+    news : Mailbox
+        Takes `Announced` and `Departed`.
+    """
+
+    def __init__(self, news: Mailbox) -> None:
+        self.news = news
+
+    async def answer(self, request: web.BaseRequest) -> web.Response:
+        """Take a heartbeat or a farewell."""
+        if not request.path.startswith(BEATS_PATH):
+            return web.Response(status=404)
+        target = request.path.removeprefix(BEATS_PATH)
+        if request.method == "DELETE":
+            self.news.put(Departed(target))
+            return json_response({})
+        if request.method != "PUT":
+            return web.Response(status=405)
+        try:
+            self.news.put(Announced(target_state_of(target, await request.read())))
+        except Malformed as error:
+            labelled(BAD_INPUT, "heartbeat", "malformed").inc()
+            self.news.put(Announced(str(error)))
+        return json_response({})
+
+
+def json_response(
+    body: dict[str, Any], status: int = 200, headers: dict[str, str] | None = None
+) -> web.Response:
+    """Return a response with a JSON body."""
+    return web.Response(
+        body=encode_json(body),
+        status=status,
+        content_type="application/json",
+        headers=headers,
+    )
--- a/hawthorntrack/protocol/codec.py
+++ b/hawthorntrack/protocol/codec.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from hawthorntrack.protocol import dispatch  # noqa: F401  (fills the registry)
 from hawthorntrack.protocol.messages import Envelope, messages
 from hawthorntrack.state.registry import Registry
 from hawthorntrack.state.values import Incarnation
--- a/hawthorntrack/state/metrics.py
+++ b/hawthorntrack/state/metrics.py
@@ -17,6 +17,9 @@
 MAILBOX_FULL = Counter("hawthorntrack_mailbox_full", "Messages dropped.", ["task"])
 BUS_DROPS = Counter("hawthorntrack_bus_drops", "Bus messages dropped.", ["reason"])
 TABLE_CALLS = Counter("hawthorntrack_table_calls", "Table calls.", ["call", "outcome"])
+LOG_LINES_DROPPED = Counter(
+    "hawthorntrack_log_lines_dropped", "Lines left out to bound the log.", ["event"]
+)
 CLAIMS = Counter("hawthorntrack_slot_claims", "Slot claims begun.", ["reason"])
 SLOTS = Gauge("hawthorntrack_slots", "Slots by role of this guard.", ["phase"])
 QUEUED = Gauge("hawthorntrack_queued_tasks", "Tasks waiting.", ["where"])
@@ -29,6 +32,19 @@
     buckets=(1.01, 1.05, 1.1, 1.2, 1.5, 2, 3, 5, 10, 30),
 )
 
+JOB_SECONDS = Histogram(
+    "hawthorntrack_job_seconds",
+    "Time from a job's arrival to its answer.",
+    ["queue", "answer"],
+    buckets=(0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10),
+)
+WAIT_SECONDS = Histogram(
+    "hawthorntrack_wait_seconds",
+    "Time from a job's arrival to its last task's first placing.",
+    ["queue"],
+    buckets=(0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2),
+)
+
 
 @lru_cache(maxsize=1_024)
 def labelled(metric: Any, *labels: str) -> Any:
--- /dev/null
+++ b/hawthorntrack/transport/serving.py
@@ -0,0 +1,57 @@
+"""HTTP servers without routes of their own."""
+
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from aiohttp import web
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+KEEPALIVE_S = 75.0
+BACKLOG = 512
+CLOSE_LIMIT_S = 0.5
+
+Handler = Callable[[web.BaseRequest], Coroutine[Any, Any, web.StreamResponse]]
+
+
+class HttpServer:
+    """Owns one listening socket.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port`` to listen on.
+    handler : callable
+        Answers each request; it is cancelled when the caller's connection closes.
+    """
+
+    def __init__(self, address: str, handler: Handler) -> None:
+        self.address = address
+        self.handler = handler
+        self.runner: web.ServerRunner | None = None
+
+    async def start(self) -> None:
+        """Open the socket."""
+        host, _, port = self.address.rpartition(":")
+        server = web.Server(
+            self.handler,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=KEEPALIVE_S,
+        )
+        self.runner = web.ServerRunner(server, shutdown_timeout=CLOSE_LIMIT_S)
+        await self.runner.setup()
+        await web.TCPSite(self.runner, host, int(port), backlog=BACKLOG).start()
+
+    async def stop(self) -> None:
+        """Close the socket once open requests are answered, or soon."""
+        if self.runner is not None:
+            await self.runner.cleanup()
+
+
+async def show_metrics(request: web.BaseRequest) -> web.Response:
+    """Answer with the process's metrics."""
+    if request.path != "/metrics":
+        return web.Response(status=404)
+    return web.Response(
+        body=generate_latest(), headers={"Content-Type": CONTENT_TYPE_LATEST}
+    )
