--- a/hawthorntrack/experiment/model_site.py
+++ b/hawthorntrack/experiment/model_site.py
@@ -224,6 +224,8 @@
 
     Attributes
     ----------
+    answers : list of (float, str, str)
+        When each job came, its queue, and how it was answered.
     violations : list of str
         Tasks of which two runs were at work at the same time, and the like.
     """
@@ -241,7 +243,7 @@
         self.counts: dict[str, Counter] = defaultdict(Counter)
         self.numbers = itertools.count()
         self.background: set[asyncio.Task] = set()
-        self.wasted_s = 0.0
+        self.answers: list[tuple[float, str, str]] = []
         self.directives = Directives(
             1,
             Catalogue(
@@ -441,7 +443,7 @@
         else:
             answer = "failed"
         self.counts[kind.queue][answer] += 1
-        self.counts[f"{kind.queue}:{plan.steps[0].count > 2 * kind.width}"][answer] += 1
+        self.answers.append((begun, kind.queue, answer))
         return verdict
 
     async def try_once(self, kind: Kind, plan: JobPlan, until: float) -> Any:
