Test what a guard does with runs, leases and a target that misbehaves

Cause: the lease holder's decisions had only the model above them. 36 cases, each names the fault it brings about: orders and heartbeats that come late, answers that never come, silent owners and targets, earlier lives.

--- /dev/null
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -0,0 +1,420 @@
+"""What a guard does with runs, leases and a target that misbehaves."""
+
+import pytest
+
+from hawthorntrack.coordination.leaseholder import LeaseHolder
+from hawthorntrack.coordination.leases import LEASE_S, TRUST_S
+from hawthorntrack.protocol.dispatch import (
+    CheckRuns,
+    DropJob,
+    Hello,
+    RunOrder,
+    RunsEnded,
+    RunsRefused,
+    RunsTaken,
+    StartRuns,
+    StopRuns,
+    Vouch,
+)
+from hawthorntrack.protocol.links import LinkDown
+from hawthorntrack.protocol.orders import (
+    Announced,
+    Departed,
+    HoldOrder,
+    HoldReply,
+    StartOrder,
+    StartReply,
+    StopOrder,
+    StopReply,
+)
+from hawthorntrack.state.actor import Delivery
+from hawthorntrack.state.mailbox import Mailbox, Tick
+from hawthorntrack.state.plans import (
+    RunEnd,
+    RunName,
+    RunStatus,
+    TargetLife,
+    TargetState,
+    TaskName,
+)
+from hawthorntrack.state.resources import Resources
+from hawthorntrack.state.values import Incarnation
+
+ENTRY = Incarnation("entry:1", "e1")
+NEED = Resources(1_600, 64)
+LIFE = TargetLife("t1", 100)
+
+
+class Guard:
+    """A lease holder whose clock and mailboxes a test holds in its hands."""
+
+    def __init__(self) -> None:
+        self.time = 1_000.0
+        self.calls = Mailbox("calls")
+        self.sent = []
+        self.holder = LeaseHolder(
+            lambda address, body: self.sent.append((address, body)),
+            self.calls,
+            Mailbox("drained"),
+            lambda: self.time,
+            first_token=50,
+        )
+        self.holder.later = lambda delay_s, message: None
+
+    def tell(self, body, sender=None):
+        self.holder.handle(Delivery(sender, body) if sender else body)
+
+    def wait(self, seconds):
+        self.time += seconds
+        self.tell(Tick())
+
+    def orders(self, kind):
+        queue = self.calls.queue
+        items = [queue.get_nowait() for _ in range(queue.qsize())]
+        for item in items:
+            if type(item) is not kind:
+                self.calls.put(item)
+        return [item for item in items if type(item) is kind]
+
+    def messages(self, kind):
+        found = [body for _, body in self.sent if type(body) is kind]
+        self.sent = [item for item in self.sent if type(item[1]) is not kind]
+        return found
+
+    def announce(self, life=LIFE, sequence=1, draining=False):
+        state = TargetState(
+            life,
+            "visits",
+            "10.0.0.1:80",
+            "recife",
+            draining,
+            Resources(16_000, 32_768),
+            ("a", "r1"),
+            sequence,
+            5_000,
+        )
+        self.tell(Announced(state))
+
+    def answer_holds(self, running=(), ended=(), outcome="held"):
+        """Answer all holds that were sent, with the same lists."""
+        for order in self.orders(HoldOrder):
+            born_ms = order.target.life.born_ms
+            lists = (tuple(running), tuple(ended))
+            self.tell(HoldReply(order, outcome, 5_000, born_ms, *lists))
+
+    def order_runs(self, count=1, job="a" * 16, number=1, age_s=0.0, left_ms=9_000):
+        """Have the entry instance order runs; return their names."""
+        names = [RunName(TaskName(job, 0, 0, i), number) for i in range(count)]
+        runs = tuple(RunOrder(name, NEED, 400) for name in names)
+        stamp_ms = round((self.time - age_s) * 1000)
+        self.tell(StartRuns(stamp_ms, "spec", left_ms, runs), ENTRY)
+        return names
+
+    def answer_starts(self, outcome="started"):
+        orders = self.orders(StartOrder)
+        for order in orders:
+            self.tell(StartReply(order, outcome, 5_000))
+        return orders
+
+
+@pytest.fixture
+def guard(run):
+    """Return a guard whose target is ready and whose entry instance is linked."""
+    made = Guard()
+    made.announce()
+    made.answer_holds()
+    made.tell(Hello("entry", "recife", "entry-1"), ENTRY)
+    made.tell(Vouch(round(made.time * 1000), 1, ()), ENTRY)
+    return made
+
+
+@pytest.fixture
+def running(guard):
+    """Return a guard with one run at work, and the run's name."""
+    (name,) = guard.order_runs()
+    guard.answer_starts()
+    guard.time += 0.01
+    guard.answer_holds([RunStatus(name, 1)])
+    return guard, name
+
+
+def test_starts_a_run_under_a_lease_and_takes_its_end_in(running):
+    guard, name = running
+    assert [taken.runs for taken in guard.messages(RunsTaken)] == [(name,)]
+    guard.answer_holds(ended=[RunEnd(1, name, "done")])
+    (ended,) = guard.messages(RunsEnded)
+    assert [(e.name, e.how) for e in ended.endings] == [(name, "done")]
+    (hold,) = guard.orders(HoldOrder)
+    assert hold.ends_seen == 1
+
+
+def test_lease_is_shorter_than_what_targets_grant(guard):
+    guard.order_runs()
+    (start,) = guard.orders(StartOrder)
+    assert start.lease_ms <= 5_000 + 1_000 * LEASE_S
+
+
+def test_counts_room_that_unfinished_runs_occupy(guard):
+    guard.order_runs(count=12)
+    (taken,), (refused,) = guard.messages(RunsTaken), guard.messages(RunsRefused)
+    assert (len(taken.runs), len(refused.runs)) == (10, 2)
+    assert refused.reason == "no_room"
+    assert taken.room.free.cpu_m == 0
+
+
+def test_refuses_an_order_that_was_held_up(guard):
+    guard.order_runs(age_s=TRUST_S + 0.01)
+    (refused,) = guard.messages(RunsRefused)
+    assert refused.reason == "stale_order"
+    assert guard.orders(StartOrder) == []
+
+
+def test_refuses_runs_in_a_zone_that_is_out(guard):
+    guard.tell(Vouch(round(guard.time * 1000), 7, ("recife",)), ENTRY)
+    guard.order_runs()
+    assert [r.reason for r in guard.messages(RunsRefused)] == ["zone_out"]
+
+
+def test_zone_news_that_come_late_undo_nothing(guard):
+    guard.tell(Vouch(round(guard.time * 1000), 7, ("recife",)), ENTRY)
+    guard.tell(Vouch(round(guard.time * 1000), 6, ()), ENTRY)
+    guard.order_runs()
+    assert [r.reason for r in guard.messages(RunsRefused)] == ["zone_out"]
+
+
+def test_refuses_runs_on_a_draining_target(guard):
+    guard.announce(sequence=2, draining=True)
+    guard.order_runs()
+    assert [r.reason for r in guard.messages(RunsRefused)] == ["draining"]
+
+
+def test_heartbeat_that_comes_late_undoes_nothing(guard):
+    guard.announce(sequence=3, draining=True)
+    guard.announce(sequence=2)
+    guard.order_runs()
+    assert [r.reason for r in guard.messages(RunsRefused)] == ["draining"]
+
+
+def test_heartbeat_of_a_dead_life_is_not_taken_in(running):
+    guard, _ = running
+    guard.announce(TargetLife("t1", 50), sequence=9)
+    assert guard.messages(RunsEnded) == []
+
+
+def test_runs_of_a_life_that_is_over_are_lost(running):
+    guard, name = running
+    guard.announce(TargetLife("t1", 200))
+    (ended,) = guard.messages(RunsEnded)
+    assert [(e.name, e.how) for e in ended.endings] == [(name, "lost")]
+
+
+def test_unreadable_heartbeat_changes_nothing(running):
+    guard, _ = running
+    guard.tell(Announced("no state"))
+    assert guard.messages(RunsEnded) == []
+
+
+def test_target_that_leaves_takes_its_runs_along(running):
+    guard, _ = running
+    guard.tell(Departed("t1"))
+    (ended,) = guard.messages(RunsEnded)
+    assert ended.endings[0].how == "lost"
+
+
+def test_raises_its_token_until_the_target_accepts_it(guard):
+    guard.order_runs()
+    tokens = [guard.answer_starts("fenced")[0].token for _ in range(4)]
+    assert tokens == sorted(set(tokens))
+    assert guard.messages(RunsRefused) == []
+
+
+def test_raises_the_run_number_that_an_earlier_guard_has_used(guard):
+    guard.order_runs()
+    guard.answer_starts("old_run")
+    guard.answer_starts("old_run")
+    (order,) = guard.answer_starts()
+    assert order.name.run > 2
+
+
+def test_late_start_is_sent_again_with_the_clock_corrected(guard):
+    guard.order_runs()
+    (first,) = guard.orders(StartOrder)
+    guard.tell(StartReply(first, "late", 9_000))
+    (again,) = guard.orders(StartOrder)
+    assert again.lease_ms > first.lease_ms + 3_000
+
+
+@pytest.mark.parametrize(
+    ("outcome", "reason"),
+    [("no_room", "no_room"), ("invalid", "invalid"), ("unwell", "unwell")],
+)
+def test_start_that_was_turned_away_is_given_back(guard, outcome, reason):
+    (name,) = guard.order_runs()
+    guard.answer_starts(outcome)
+    (refused,) = guard.messages(RunsRefused)
+    assert (refused.runs, refused.reason) == ((name,), reason)
+
+
+def test_unwell_target_gets_nothing_for_a_while(guard):
+    guard.order_runs()
+    guard.answer_starts("unwell")
+    guard.messages(RunsRefused)
+    guard.order_runs(job="b" * 16)
+    assert [r.reason for r in guard.messages(RunsRefused)] == ["unwell"]
+
+
+def test_start_without_an_answer_is_found_in_the_lists(guard):
+    (name,) = guard.order_runs()
+    guard.answer_starts("unanswered")
+    guard.time += 0.01
+    guard.answer_holds([RunStatus(name, 5)])
+    guard.answer_holds(ended=[RunEnd(1, name, "done")])
+    assert guard.orders(StopOrder) == []
+    assert guard.messages(RunsEnded)[0].endings[0].how == "done"
+
+
+def test_start_without_an_answer_is_fenced_by_a_stop_before_it_is_given_back(guard):
+    """The order may still be carried out, until its number has been stopped."""
+    (name,) = guard.order_runs()
+    guard.answer_starts("unanswered")
+    guard.time += 0.01
+    guard.tell(Tick())
+    guard.holder.look(guard.holder.current())
+    guard.answer_holds()
+    (stop,) = guard.orders(StopOrder)
+    assert guard.messages(RunsEnded) == []
+    guard.tell(StopReply(stop, "stopped", 5_000))
+    guard.time += 0.01
+    guard.holder.look(guard.holder.current())
+    guard.answer_holds()
+    (ended,) = guard.messages(RunsEnded)
+    assert [(e.name, e.how) for e in ended.endings] == [(name, "start_unanswered")]
+
+
+def test_stop_without_an_answer_is_sent_again(running):
+    guard, name = running
+    guard.tell(StopRuns((name,)), ENTRY)
+    (stop,) = guard.orders(StopOrder)
+    guard.tell(StopReply(stop, "unanswered"))
+    assert len(guard.orders(StopOrder)) == 1
+
+
+def test_lease_is_not_renewed_while_a_stop_is_not_being_answered(running):
+    guard, name = running
+    guard.tell(StopRuns((name,)), ENTRY)
+    for _ in range(4):
+        (stop,) = guard.orders(StopOrder)
+        guard.tell(StopReply(stop, "unanswered"))
+    guard.answer_holds([RunStatus(name, 2)])
+    assert [hold.lease_ms for hold in guard.orders(HoldOrder)] == [None]
+
+
+def test_stops_the_runs_of_an_owner_that_falls_silent(running):
+    guard, _ = running
+    guard.wait(TRUST_S + 0.01)
+    assert len(guard.orders(StopOrder)) == 1
+
+
+def test_vouching_for_an_old_pulse_extends_nothing(running):
+    """Messages that a cut held up arrive all at once when it heals."""
+    guard, _ = running
+    guard.time += TRUST_S / 2
+    guard.tell(Vouch(round((guard.time - TRUST_S) * 1000), 1, ()), ENTRY)
+    guard.wait(TRUST_S / 2 + 0.01)
+    assert len(guard.orders(StopOrder)) == 1
+
+
+def test_owner_that_is_back_after_its_trust_ran_out_finds_its_runs_stopped(running):
+    """A guard that stood still must not let a given-up run go on."""
+    guard, _ = running
+    guard.time += TRUST_S + 0.5
+    guard.tell(Vouch(round(guard.time * 1000), 1, ()), ENTRY)
+    assert len(guard.orders(StopOrder)) == 1
+
+
+def test_broken_link_that_is_made_anew_costs_no_run(running):
+    guard, name = running
+    guard.tell(LinkDown(ENTRY.address))
+    guard.wait(0.1)
+    guard.tell(Hello("entry", "recife", "entry-1"), ENTRY)
+    guard.tell(CheckRuns((name,)), ENTRY)
+    guard.tell(Vouch(round(guard.time * 1000), 1, ()), ENTRY)
+    guard.wait(0.2)
+    assert guard.orders(StopOrder) == []
+
+
+def test_runs_of_a_killed_owner_are_gone_before_the_caller_sends_again(running):
+    guard, _ = running
+    guard.tell(LinkDown(ENTRY.address))
+    guard.wait(0.3)
+    assert len(guard.orders(StopOrder)) == 1
+
+
+def test_runs_of_an_owners_earlier_life_are_stopped(running):
+    guard, _ = running
+    guard.tell(Hello("entry", "recife", "entry-1"), Incarnation("entry:1", "e2"))
+    assert len(guard.orders(StopOrder)) == 1
+
+
+def test_another_owner_that_asks_for_a_running_task_gets_it_stopped_first(running):
+    guard, name = running
+    other = Incarnation("entry:2", "f1")
+    order = StartRuns(round(guard.time * 1000), "spec", 900, (RunOrder(name, NEED, 1),))
+    guard.tell(order, other)
+    assert [r.reason for r in guard.messages(RunsRefused)] == ["still_running"]
+    assert len(guard.orders(StopOrder)) == 1
+
+
+def test_check_reports_ends_that_were_told_while_the_link_was_down(running):
+    guard, name = running
+    guard.answer_holds(ended=[RunEnd(1, name, "done")])
+    guard.messages(RunsEnded)
+    guard.tell(CheckRuns((name, RunName(TaskName("c" * 16, 0, 0, 0), 1))), ENTRY)
+    (told,) = guard.messages(RunsEnded)
+    assert [e.how for e in told.endings] == ["done", "lost"]
+
+
+def test_cancelled_job_is_stopped_whoever_owns_it(running):
+    guard, name = running
+    guard.tell(DropJob(name.task.job), Incarnation("entry:2", "f1"))
+    assert len(guard.orders(StopOrder)) == 1
+
+
+def test_run_that_stands_still_is_stopped_and_its_target_judged(running):
+    guard, name = running
+    for _ in range(3):
+        guard.time += 0.2
+        guard.tell(Vouch(round(guard.time * 1000), 1, ()), ENTRY)
+        guard.answer_holds([RunStatus(name, 1)])
+    assert len(guard.orders(StopOrder)) == 1
+
+
+def test_caller_that_gave_up_has_its_runs_stopped(guard):
+    (name,) = guard.order_runs(left_ms=100)
+    guard.answer_starts()
+    guard.wait(0.11)
+    assert [stop.name for stop in guard.orders(StopOrder)] == [name]
+
+
+def test_runs_on_a_silent_target_are_given_back_once_their_lease_has_lapsed(running):
+    guard, _ = running
+    guard.answer_holds(outcome="unanswered")
+    guard.wait(0.2)
+    guard.answer_holds(outcome="unanswered")
+    assert guard.messages(RunsEnded) == []
+    guard.tell(Vouch(round(guard.time * 1000), 1, ()), ENTRY)
+    guard.wait(1.2)
+    (ended,) = guard.messages(RunsEnded)
+    assert ended.endings[0].how == "lapsed"
+
+
+def test_runs_of_an_earlier_guard_are_stopped_before_the_target_is_ready(run):
+    guard = Guard()
+    guard.announce()
+    stranger = RunName(TaskName("d" * 16, 0, 0, 0), 3)
+    guard.answer_holds([RunStatus(stranger, 50)])
+    assert [stop.name for stop in guard.orders(StopOrder)] == [stranger]
+    assert guard.holder.room().standing == "unwell"
+    guard.tell(Tick())
+    guard.answer_holds()
+    assert guard.holder.room().standing == "ready"
