Split the lease holder and the dispatcher by subject; answer what a drain leaves

The lease holder is now lists (leases and lists of runs), orders (starts and stops) and the part towards entry instances; the dispatcher is placing and the part towards callers. No decision changed by that. Also: jobs that a drain does not finish are answered before the sockets close; callers that are turned away are told to come back spread over twice the expected drain, so that a burst does not return as one wave. Model and guard tests pass.

--- /dev/null
+++ b/hawthorntrack/coordination/run_placing.py
@@ -0,0 +1,348 @@
+"""The part of a dispatcher that places tasks on guards and follows their runs."""
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from hawthorntrack.coordination.packing import choose_place
+from hawthorntrack.coordination.peers import ABSENT, GuardPeer
+from hawthorntrack.coordination.progress import PLACED, WAITING, Job, Task
+from hawthorntrack.coordination.waiting import (
+    FairShares,
+    latest_end,
+)
+from hawthorntrack.protocol.dispatch import (
+    CheckRuns,
+    Ending,
+    Hello,
+    Pulse,
+    RunOrder,
+    RunsEnded,
+    RunsRefused,
+    RunsTaken,
+    StartRuns,
+    Vouch,
+)
+from hawthorntrack.protocol.links import LinkDown, LinkUp
+from hawthorntrack.state.actor import Actor, handles
+from hawthorntrack.state.clock import Clock
+from hawthorntrack.state.directives import Directives
+from hawthorntrack.state.events import log_event
+from hawthorntrack.state.metrics import (
+    RETRIES,
+    WAIT_SECONDS,
+    labelled,
+)
+from hawthorntrack.state.plans import RunName, TaskName
+from hawthorntrack.state.values import Incarnation
+from hawthorntrack.state.verdicts import (
+    Abandoned,
+    Completed,
+    JobFailed,
+    Verdict,
+)
+
+RETAKE_S = 0.06  # for a guard to stop the run of an earlier submission
+JUDGED_ENDS = {"failed"}
+
+
+class Retake(NamedTuple):
+    """Tells the dispatcher that a task may be placed again."""
+
+    task: TaskName
+
+
+class RunPlacing(Actor):
+    """Owns what an entry instance knows of guards and of the runs there.
+
+    Parameters
+    ----------
+    zone : str
+        Where this instance runs.
+    far_factor : float
+        Factor on a task's run time away from the rack of its data.
+    send : callable
+        Takes a peer's address and a message.
+    clock : callable
+        Returns seconds, suspended time included.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        far_factor: float,
+        send: Callable[[str, Any], None],
+        clock: Clock,
+    ) -> None:
+        super().__init__()
+        self.zone = zone
+        self.far_factor = far_factor
+        self.send = send
+        self.clock = clock
+        self.directives = Directives()
+        self.jobs: dict[str, Job] = {}
+        self.peers: dict[str, GuardPeer] = {}
+        self.shares = FairShares()
+        self.dirty = False
+
+    def end(self, job: Job, verdict: Verdict) -> None:
+        """Answer a job and stop what still runs of it."""
+        raise NotImplementedError
+
+    def report_ready(self) -> None:
+        """Tell whether jobs can be taken."""
+        raise NotImplementedError
+
+    def later(self, delay_s: float, message: Any) -> None:
+        """Post a message to this task after a while."""
+        asyncio.get_running_loop().call_later(delay_s, self.mailbox.put, message)
+
+    def place_waiting(self) -> None:
+        """Place waiting tasks, fair among queues, oldest first within each."""
+        now = self.clock()
+        places = {
+            address: peer.place()
+            for address, peer in self.peers.items()
+            if peer.open(now, self.directives.zones_out)
+        }
+        if not places:
+            return
+        queues: dict[str, list[Job]] = defaultdict(list)
+        for job in self.jobs.values():
+            if not job.suspended and job.waiting():
+                queues[job.queue.name].append(job)
+        self.shares.settle(queues)
+        for jobs in queues.values():
+            jobs.sort(key=lambda job: (not job.begun, job.arrived))
+        batches: dict[tuple[str, str], list[RunOrder]] = defaultdict(list)
+        heads = {name: iter(jobs) for name, jobs in queues.items()}
+        while heads:
+            name = self.shares.lowest(heads)
+            job = next(heads[name], None)
+            if job is None or not self.place_job(job, places, batches, now):
+                del heads[name]
+        for (key, address), orders in batches.items():
+            job = self.jobs[key]
+            left_ms = max(1, round((job.useless_at - now) * 1000))
+            stamp_ms = self.peers[address].stamp_ms
+            order = StartRuns(stamp_ms, job.plan.payload, left_ms, tuple(orders))
+            self.send(address, order)
+
+    def place_job(
+        self,
+        job: Job,
+        places: dict[str, Any],
+        batches: dict[tuple[str, str], list[RunOrder]],
+        now: float,
+    ) -> bool:
+        """Place a job's waiting tasks; return whether all of them found room."""
+        end_by = latest_end(
+            job.arrived, job.objective, job.patient_until, now, job.begun
+        )
+        for task in job.waiting():
+            place = choose_place(
+                (p for p in places.values() if p.room.service == job.queue.service),
+                task.step,
+                self.zone,
+                self.far_factor,
+                task.avoid,
+                end_by - now,
+            )
+            if place is None:
+                return False
+            need = task.step.need
+            places[place.address] = place._replace(
+                free=place.free.minus(need), siblings=place.siblings + 1
+            )
+            self.assign(job, task, self.peers[place.address])
+            estimate_ms = round(task.step.estimate_s * 1000)
+            batches[job.plan.key, place.address].append(
+                RunOrder(task.run, need, estimate_ms)
+            )
+        labelled(WAIT_SECONDS, job.queue.name).observe(now - job.arrived)
+        return True
+
+    def assign(self, job: Job, task: Task, peer: GuardPeer) -> None:
+        """Note that a task is sent to a guard."""
+        task.phase, task.guard, task.guard_life = PLACED, peer.address, peer.nonce
+        job.begun = True
+        peer.runs[task.name] = task.run
+        peer.unconfirmed[task.run] = task.step.need
+        work = task.step.need.cpu_m / 1000 * task.step.estimate_s
+        self.shares.charge(job.queue.name, work)
+
+    def task_at(self, peer: GuardPeer, run: RunName) -> tuple[Job, Task] | None:
+        """Return the job and task of a run that is believed to be at a guard."""
+        job = self.jobs.get(run.task.job)
+        task = job.tasks.get(run.task) if job else None
+        if task is None or task.phase != PLACED or task.guard != peer.address:
+            return None
+        return (job, task) if task.run == run else None
+
+    def give_back(self, job: Job, task: Task, wait_s: float = 0.0) -> None:
+        """Have a task placed again, unless its job is to start nothing more."""
+        task.guard = ""
+        if job.suspended:
+            self.end(job, Abandoned("stood_still"))
+            return
+        task.phase = "paused" if wait_s else WAITING
+        if wait_s:
+            self.later(wait_s, Retake(task.name))
+        self.dirty = True
+
+    @handles(Retake)
+    def retake(self, order: Retake, sender: Incarnation) -> None:
+        """Let a paused task wait for a place again."""
+        job = self.jobs.get(order.task.job)
+        task = job.tasks.get(order.task) if job else None
+        if task is not None and task.phase == "paused":
+            task.phase = WAITING
+            self.dirty = True
+
+    def peer(self, sender: Incarnation) -> GuardPeer:
+        """Return what is known of a guard, with the time it was heard."""
+        peer = self.peers.get(sender.address)
+        if peer is None:
+            peer = self.peers[sender.address] = GuardPeer(sender.address)
+        peer.heard_at = self.clock()
+        return peer
+
+    @handles(Hello)
+    def greet(self, hello: Hello, sender: Incarnation) -> None:
+        """Know a guard; tell it which runs it should have."""
+        if hello.role != "guard":
+            return
+        peer = self.peer(sender)
+        peer.linked = True
+        peer.unconfirmed.clear()
+        log_event("guard:linked", guard=str(sender), runs=len(peer.runs))
+        if peer.nonce != sender.nonce:
+            peer.nonce = sender.nonce
+            peer.room = ABSENT
+        else:
+            self.send(sender.address, CheckRuns(tuple(peer.runs.values())))
+
+    @handles(LinkUp)
+    def link_up(self, news: LinkUp, sender: Incarnation) -> None:
+        """Wait for the peer's first message, which tells its role."""
+
+    @handles(LinkDown)
+    def link_down(self, news: LinkDown, sender: Incarnation) -> None:
+        """Send nothing to a guard until its link is back."""
+        peer = self.peers.get(news.address)
+        if peer is not None:
+            log_event("guard:lost", guard=news.address, runs=len(peer.runs))
+            peer.linked = False
+
+    @handles(Pulse)
+    def take_pulse(self, pulse: Pulse, sender: Incarnation) -> None:
+        """Answer a guard's heartbeat."""
+        peer = self.peer(sender)
+        if not peer.linked or peer.nonce != sender.nonce:
+            return
+        peer.pulse_at, peer.stamp_ms = peer.heard_at, pulse.stamp_ms
+        peer.take_room(pulse.room)
+        zones_out = tuple(sorted(self.directives.zones_out))
+        vouch = Vouch(pulse.stamp_ms, self.directives.stamp, zones_out)
+        self.send(sender.address, vouch)
+        if peer.room.standing == "ready":
+            self.forget_earlier_life(peer)
+        self.report_ready()
+        self.dirty = True
+
+    def forget_earlier_life(self, peer: GuardPeer) -> None:
+        """Place again what an earlier life of a guard had; its target has none."""
+        lost = [
+            found
+            for run in peer.runs.values()
+            if (found := self.task_at(peer, run)) and found[1].guard_life != peer.nonce
+        ]
+        for job, task in lost:
+            peer.runs.pop(task.name, None)
+            labelled(RETRIES, "guard_restarted").inc()
+            self.give_back(job, task)
+
+    @handles(RunsTaken)
+    def take_taken(self, news: RunsTaken, sender: Incarnation) -> None:
+        """Count runs as part of the room that the guard reports."""
+        peer = self.peer(sender)
+        for run in news.runs:
+            peer.unconfirmed.pop(run, None)
+        peer.take_room(news.room)
+
+    @handles(RunsRefused)
+    def take_refused(self, news: RunsRefused, sender: Incarnation) -> None:
+        """Place tasks elsewhere that a guard did not start."""
+        peer = self.peer(sender)
+        peer.take_room(news.room)
+        for run, number in zip(news.runs, news.numbers, strict=True):
+            peer.unconfirmed.pop(run, None)
+            found = self.task_at(peer, run)
+            if found is None:
+                continue
+            peer.runs.pop(run.task, None)
+            job, task = found
+            labelled(RETRIES, news.reason).inc()
+            task.number = max(task.number, number + 1)
+            if news.reason == "invalid":
+                self.end(job, JobFailed("target_refused_task"))
+            else:
+                busy = news.reason == "still_running"
+                self.give_back(job, task, RETAKE_S if busy else 0.0)
+        self.dirty = True
+
+    @handles(RunsEnded)
+    def take_ended(self, news: RunsEnded, sender: Incarnation) -> None:
+        """Take ends of runs in."""
+        peer = self.peer(sender)
+        peer.take_room(news.room)
+        for ending in news.endings:
+            peer.unconfirmed.pop(ending.name, None)
+            found = self.task_at(peer, ending.name)
+            if found is not None:
+                peer.runs.pop(ending.name.task, None)
+                self.task_ended(*found, ending)
+        self.dirty = True
+
+    def task_ended(self, job: Job, task: Task, ending: Ending) -> None:
+        """Go on with a job after one of its runs has ended."""
+        if ending.how == "done":
+            job.complete_task(task)
+            if job.complete:
+                self.end(job, Completed())
+            return
+        labelled(RETRIES, f"run_{ending.how}").inc()
+        log_event(
+            "run:ended",
+            job=job.plan.key,
+            task=f"{task.name.step}.{task.name.index}",
+            how=ending.how,
+            guard=task.guard,
+            failures=task.failures,
+        )
+        task.number = max(task.number, ending.number) + 1
+        if ending.how in ("superseded", "cancelled"):
+            self.end(job, Abandoned(ending.how))
+            return
+        if ending.how in JUDGED_ENDS:
+            task.failures += 1
+            task.avoid |= {task.guard}
+            if task.failures >= job.queue.max_attempts:
+                self.end(job, JobFailed("task_failed"))
+                return
+        elif ending.how == "hung":
+            task.avoid |= {task.guard}
+        self.give_back(job, task)
+
+    def give_up_runs(self, peer: GuardPeer) -> None:
+        """Place again what a guard had that has been silent for long."""
+        runs, peer.runs = peer.runs, {}
+        peer.unconfirmed.clear()
+        log_event("guard:given_up", guard=peer.address, runs=len(runs))
+        for run in runs.values():
+            found = self.task_at(peer, run)
+            if found is not None:
+                labelled(RETRIES, "guard_silent").inc()
+                found[1].number += 1
+                self.give_back(*found)
--- /dev/null
+++ b/hawthorntrack/coordination/target_lists.py
@@ -0,0 +1,268 @@
+"""The part of a lease holder that renews leases and reads lists of runs."""
+
+import asyncio
+from typing import Any
+
+from hawthorntrack.coordination import health as health_rules
+from hawthorntrack.coordination import leases
+from hawthorntrack.coordination.sessions import (
+    RUNNING,
+    STOPPING,
+    UNSURE,
+    Run,
+    TargetSession,
+)
+from hawthorntrack.protocol.orders import (
+    HoldOrder,
+    HoldReply,
+    StartReply,
+    StopOrder,
+    StopReply,
+)
+from hawthorntrack.state.actor import Actor, handles
+from hawthorntrack.state.clock import Clock
+from hawthorntrack.state.events import log_event
+from hawthorntrack.state.mailbox import Mailbox
+from hawthorntrack.state.metrics import RETRIES, STARTS, labelled
+from hawthorntrack.state.plans import RunName
+from hawthorntrack.state.values import Incarnation
+
+HOLD_WAIT_S = 0.2  # several renewals fit into one lease
+SILENT_S = 4.0  # two heartbeats and some; a target's usual interval is 1.5 s
+DOUBLED_S = 3.0  # after a lost answer; such troubles last for seconds
+HUNG_S = 0.35  # even a target slowed tenfold shows progress in this time
+SLOWNESS_WEIGHT = 0.1  # of the newest run in the average
+
+
+class TargetLists(Actor):
+    """Keeps the sessions of targets in step with the lists that targets give.
+
+    Parameters
+    ----------
+    calls : Mailbox
+        Takes orders to the target.
+    clock : callable
+        Returns seconds, suspended time included.
+    """
+
+    def __init__(self, calls: Mailbox, clock: Clock) -> None:
+        super().__init__()
+        self.calls = calls
+        self.clock = clock
+        self.sessions: dict[str, TargetSession] = {}
+        self.health = health_rules.Health()
+        self.slowness = 1.0
+
+    def stop(self, session: TargetSession, run: Run, why: str) -> None:
+        """Send a stop."""
+        raise NotImplementedError
+
+    def finish(self, session: TargetSession, ends: list[tuple[Run, str]]) -> None:
+        """Report ends to the runs' owners."""
+        raise NotImplementedError
+
+    def room_changed(self) -> None:
+        """Have the room reported soon."""
+        raise NotImplementedError
+
+    def later(self, delay_s: float, message: Any) -> None:
+        """Post a message to this task after a while."""
+        asyncio.get_running_loop().call_later(delay_s, self.mailbox.put, message)
+
+    def session_of(self, reply: StartReply | StopReply | HoldReply) -> Any:
+        """Return the session that an order was meant for, if it goes on."""
+        session = self.sessions.get(reply.order.target.life.id)
+        if session is None or session.target.life != reply.order.target.life:
+            return None
+        return session
+
+    def end_session(self, session: TargetSession, how: str) -> None:
+        """Report all runs of a life that is over."""
+        self.finish(session, [(run, how) for run in session.runs.values()])
+        self.room_changed()
+
+    def hold(self, session: TargetSession) -> None:
+        """Renew the lease and ask for the lists, unless that is under way."""
+        now = self.clock()
+        pending = session.ends_seen > session.ends_acknowledged
+        if session.holding is not None or not (
+            session.runs or pending or not session.verified
+        ):
+            return
+        lease_ms = None
+        if session.runs and not session.failures and not self.doubtful(session, now):
+            lease_ms = leases.lease_until(session.clock, now)
+            session.last_sent = now
+        waits = session.runs and session.verified
+        wait_s = HOLD_WAIT_S if waits else 0.0
+        session.holding = self.order_hold(session, lease_ms, wait_s)
+        if waits and now < session.lost_answer_at + DOUBLED_S:
+            # Either answer tells of an end when the other one is lost.
+            self.order_hold(session, lease_ms, wait_s)
+
+    def order_hold(
+        self, session: TargetSession, lease_ms: int | None, wait_s: float
+    ) -> HoldOrder:
+        """Send a hold and return it."""
+        token, seen = session.token, session.ends_seen
+        order = HoldOrder(session.target, lease_ms, token, seen, wait_s, self.clock())
+        self.calls.put(order)
+        return order
+
+    def look(self, session: TargetSession) -> None:
+        """Ask for the lists now, beside a hold that waits for an end."""
+        if session.holding is not None:
+            self.order_hold(session, None, 0.0)
+        else:
+            self.hold(session)
+
+    def doubtful(self, session: TargetSession, now: float) -> bool:
+        """Return whether a run must not go on and its stop is not being answered."""
+        return any(
+            run.phase == STOPPING and not run.moved_at and run.tries > 2
+            for run in session.runs.values()
+        )
+
+    @handles(HoldReply)
+    def take_hold(self, reply: HoldReply, sender: Incarnation) -> None:
+        """Act on the lists of runs."""
+        session = self.session_of(reply)
+        if session is None:
+            return
+        now = self.clock()
+        if reply.order is session.holding:
+            session.holding = None
+        if reply.outcome == "held" and self.is_other_life(session, reply):
+            self.sessions.pop(session.state.life.id)
+            self.end_session(session, "lost")
+            return
+        if reply.outcome == "held":
+            self.take_lists(session, reply, now)
+            self.hold(session)
+            return
+        if reply.outcome == "other_life":
+            self.sessions.pop(session.state.life.id)
+            self.end_session(session, "lost")
+        elif reply.outcome == "fenced":
+            session.fenced += 1
+            session.token = leases.next_token(session.token, session.fenced)
+            self.hold(session)
+        else:
+            session.lost_answer_at = now
+            if self.is_answered_by_other(session, reply):
+                return
+            session.failures += 1
+            labelled(RETRIES, f"hold_{reply.outcome}").inc()
+            log_event("target:no_lists", outcome=reply.outcome, runs=len(session.runs))
+            if session.failures == 1 and reply.outcome == "unanswered":
+                self.hold(session)
+            self.room_changed()
+
+    def is_answered_by_other(self, session: TargetSession, reply: HoldReply) -> bool:
+        """Return whether a later hold has been answered meanwhile."""
+        return session.heard_at > reply.order.sent_at + reply.order.wait_s
+
+    def is_other_life(self, session: TargetSession, reply: HoldReply) -> bool:
+        """Return whether the lists are of a later life under the same id."""
+        known = session.state.life.born_ms
+        return bool(known and reply.born_ms and reply.born_ms != known)
+
+    def take_lists(self, session: TargetSession, reply: HoldReply, now: float) -> None:
+        """Compare the target's lists with what should run there."""
+        recovered = session.failures or not session.verified
+        session.failures, session.heard_at = 0, now
+        session.read_clock(reply.clock_ms, now)
+        session.ends_acknowledged = max(
+            session.ends_acknowledged, reply.order.ends_seen
+        )
+        ended = {}
+        for end in reply.ended:
+            if end.number > session.ends_seen:
+                session.ends_seen = end.number
+                ended[end.name] = end.how
+        listed = {status.name: status.percent for status in reply.running}
+        finished = []
+        for run in list(session.runs.values()):
+            how = ended.get(run.name) or self.missing(session, run, listed, reply, now)
+            if how:
+                finished.append((run, how))
+        self.finish(session, finished)
+        self.stop_foreign(session, listed)
+        if recovered and not session.foreign:
+            session.verified = True
+            self.room_changed()
+
+    def missing(
+        self,
+        session: TargetSession,
+        run: Run,
+        listed: dict[RunName, int],
+        reply: HoldReply,
+        now: float,
+    ) -> str:
+        """Return how a run that no end tells of has ended; empty if it goes on."""
+        sent_at = reply.order.sent_at
+        if run.name in listed:
+            self.follow(session, run, listed[run.name], now)
+            return ""
+        if run.phase == RUNNING and run.began_at < sent_at:
+            return "lost"
+        if run.phase == UNSURE and run.moved_at < sent_at:
+            self.stop(session, run, "start_unanswered")
+        elif run.phase == STOPPING and run.moved_at:
+            return "stopped" if run.moved_at < sent_at else ""
+        return ""
+
+    def follow(
+        self, session: TargetSession, run: Run, percent: int, now: float
+    ) -> None:
+        """Take in how far a run has come; stop one that stands still."""
+        if run.phase == UNSURE:
+            STARTS.inc()
+            run.phase, run.moved_at = RUNNING, now
+        if run.phase != RUNNING:
+            return
+        if percent != run.percent:
+            run.percent, run.moved_at = percent, now
+        elif now - run.moved_at > HUNG_S:
+            self.judge(run, spoiled=True)
+            self.judge(run, spoiled=True)
+            self.stop(session, run, "hung")
+
+    def stop_foreign(self, session: TargetSession, listed: dict[RunName, int]) -> None:
+        """Stop runs that this guard knows nothing of: an earlier one's."""
+        ours = {run.name for run in session.runs.values()}
+        foreign = {
+            name
+            for name in listed
+            if name not in ours and name.task not in session.runs
+        }
+        for name in foreign:
+            log_event("run:stop", job=name.task.job, why="unknown_here", phase="")
+            self.calls.put(StopOrder(session.target, name, session.token))
+        session.foreign = foreign
+
+    def measure(self, run: Run, now: float) -> None:
+        """Average the run time over the declared one."""
+        declared_s = run.order.estimate_ms / 1000
+        if declared_s > 0:
+            ratio = min(20.0, (now - run.began_at) / declared_s)
+            self.slowness += SLOWNESS_WEIGHT * (ratio - self.slowness)
+
+    def judge(self, run: Run, spoiled: bool) -> None:
+        """Take a result into the target's standing."""
+        before = self.health.ejected_until
+        job = run.name.task.job
+        self.health = health_rules.after_result(self.health, job, spoiled, self.clock())
+        if self.health.ejected_until > before:
+            log_event("target:ejected", until=round(self.health.ejected_until, 3))
+            self.room_changed()
+
+    def give_up_on_silent(self, session: TargetSession, now: float) -> None:
+        """Report runs as lapsed once no lease can be left."""
+        if session.failures and session.runs:
+            if now > leases.lapsed_by(session.last_sent):
+                self.finish(session, [(run, "lapsed") for run in session.runs.values()])
+        if not session.runs and now - session.heard_at > 3 * SILENT_S:
+            log_event("target:silent", target=session.state.life.id)
+            del self.sessions[session.state.life.id]
--- /dev/null
+++ b/hawthorntrack/coordination/target_orders.py
@@ -0,0 +1,273 @@
+"""The part of a lease holder that starts and stops runs on its target."""
+
+from collections.abc import Callable, Iterable
+
+from hawthorntrack.coordination import health as health_rules
+from hawthorntrack.coordination import leases
+from hawthorntrack.coordination.sessions import (
+    RUNNING,
+    STARTING,
+    STOPPING,
+    UNSURE,
+    Run,
+    TargetSession,
+)
+from hawthorntrack.coordination.target_lists import TargetLists
+from hawthorntrack.protocol.orders import (
+    Announced,
+    Departed,
+    StartOrder,
+    StartReply,
+    StopOrder,
+    StopReply,
+)
+from hawthorntrack.state.actor import handles
+from hawthorntrack.state.clock import Clock
+from hawthorntrack.state.events import log_event
+from hawthorntrack.state.mailbox import Mailbox
+from hawthorntrack.state.metrics import RETRIES, STARTS, labelled
+from hawthorntrack.state.plans import RunName, TargetState, TaskName
+from hawthorntrack.state.registry import Registry
+from hawthorntrack.state.values import Incarnation
+
+UNWELL_FIRST_S = 0.2
+UNWELL_LONGEST_S = 2.0
+NO_ROOM_PAUSE_S = 0.05  # half a short task: until an end may have made room
+START_TRIES = 8  # with a token, number or clock corrected each time
+START_REPEATS = 2  # of one that got no answer
+NUMBERS_KEPT = 20_000
+
+after_start: Registry[Callable[..., None]] = Registry("outcome of a start")
+
+
+class TargetOrders(TargetLists):
+    """Sends starts and stops, and acts on what they came to.
+
+    Parameters
+    ----------
+    calls, clock
+        As for `TargetLists`.
+    first_token : int
+        Fencing token to begin with.
+    """
+
+    def __init__(self, calls: Mailbox, clock: Clock, first_token: int) -> None:
+        super().__init__(calls, clock)
+        self.first_token = first_token
+        self.numbers: dict[TaskName, int] = {}
+
+    def refuse(self, owner: str, names: Iterable[RunName], reason: str) -> None:
+        """Tell an entry instance that runs did not start and never will."""
+        raise NotImplementedError
+
+    def report_drained(self) -> None:
+        """Say when nothing runs any more."""
+        raise NotImplementedError
+
+    @handles(Announced)
+    def take_heartbeat(self, news: Announced, sender: Incarnation) -> None:
+        """Take a heartbeat in, unless a newer one is known."""
+        state = news.state
+        if not isinstance(state, TargetState):
+            log_event("target:unreadable", problem=state)
+            return
+        session = self.sessions.get(state.life.id)
+        now = self.clock()
+        if session is None or state.life.born_ms > session.state.life.born_ms:
+            self.begin_life(state, now)
+            return
+        if state.life != session.state.life or state.sequence <= session.state.sequence:
+            return
+        changed = state.draining != session.state.draining
+        session.state = state
+        session.heard_at = now
+        session.read_clock(state.clock_ms, now)
+        if changed:
+            log_event("target:draining", target=state.life.id, runs=len(session.runs))
+        if changed or session.failures:
+            self.room_changed()
+
+    def begin_life(self, state: TargetState, now: float) -> None:
+        """Begin with a new life of a target; runs of the life before are gone."""
+        older = self.sessions.pop(state.life.id, None)
+        if older is not None:
+            self.end_session(older, "lost")
+        log_event("target:new", target=state.life.id, born_ms=state.life.born_ms)
+        session = TargetSession(state, self.first_token, now)
+        self.sessions[state.life.id] = session
+        self.health = health_rules.Health()
+        self.hold(session)
+
+    @handles(Departed)
+    def take_farewell(self, news: Departed, sender: Incarnation) -> None:
+        """Forget a target that has ended."""
+        session = self.sessions.pop(news.target, None)
+        if session is not None:
+            log_event("target:departed", target=news.target, runs=len(session.runs))
+            self.end_session(session, "lost")
+
+    def current(self) -> TargetSession | None:
+        """Return the session that takes new runs."""
+        live = [s for s in self.sessions.values() if not s.state.draining]
+        return max(live, key=lambda s: s.state.life.born_ms, default=None)
+
+    def order_start(self, session: TargetSession, run: Run) -> None:
+        """Send a start, with the number that the run has now."""
+        now = self.clock()
+        if len(self.numbers) > NUMBERS_KEPT:
+            self.numbers = dict(list(self.numbers.items())[NUMBERS_KEPT // 2 :])
+        self.numbers[run.name.task] = run.name.run
+        run.phase = STARTING
+        session.last_sent = now
+        self.calls.put(
+            StartOrder(
+                session.target,
+                run.name,
+                run.payload,
+                leases.lease_until(session.clock, now),
+                session.token,
+            )
+        )
+
+    def stop(self, session: TargetSession, run: Run, why: str) -> None:
+        """Send a stop; it fences a start that is still on its way, too."""
+        if run.phase == STOPPING:
+            return
+        log_event("run:stop", job=run.name.task.job, why=why, phase=run.phase)
+        run.phase, run.why, run.tries = STOPPING, why, 0
+        run.moved_at = 0.0
+        self.calls.put(StopOrder(session.target, run.name, session.token))
+
+    @handles(StartReply)
+    def take_start(self, reply: StartReply, sender: Incarnation) -> None:
+        """Act on the outcome of a start."""
+        session = self.session_of(reply)
+        if session is None:
+            return
+        session.read_clock(reply.clock_ms, self.clock())
+        run = session.runs.get(reply.order.name.task)
+        if run is None or run.name != reply.order.name:
+            return
+        if run.phase == STARTING:
+            after_start[reply.outcome](self, session, run)
+
+    @after_start.register("started")
+    def run_started(self, session: TargetSession, run: Run) -> None:
+        """Begin to follow a run."""
+        STARTS.inc()
+        session.failures, session.heard_at = 0, self.clock()
+        run.phase = RUNNING
+        run.began_at = run.moved_at = self.clock()
+        self.hold(session)
+
+    @after_start.register("fenced")
+    def raise_token(self, session: TargetSession, run: Run) -> None:
+        """Send it again with a higher token."""
+        session.fenced += 1
+        session.token = leases.next_token(session.token, session.fenced)
+        self.try_again(session, run, "fenced")
+
+    @after_start.register("old_run")
+    def raise_number(self, session: TargetSession, run: Run) -> None:
+        """Send it again with a higher number, which an earlier guard has not used."""
+        run.name = RunName(run.name.task, run.name.run + 2**run.tries)
+        self.try_again(session, run, "old_run")
+
+    @after_start.register("late")
+    def correct_clock(self, session: TargetSession, run: Run) -> None:
+        """Send it again: the answer has told the target's clock."""
+        self.try_again(session, run, "late")
+
+    def try_again(self, session: TargetSession, run: Run, reason: str) -> None:
+        """Send a start again a few times."""
+        labelled(RETRIES, reason).inc()
+        run.tries += 1
+        if run.tries < START_TRIES:
+            self.order_start(session, run)
+        else:
+            self.abandon_start(session, run, "unwell")
+
+    def abandon_start(self, session: TargetSession, run: Run, reason: str) -> None:
+        """Give back a run that certainly was not begun."""
+        del session.runs[run.name.task]
+        self.refuse(run.owner, [run.order.name], reason)
+        self.room_changed()
+        self.report_drained()
+
+    @after_start.register("no_room")
+    def no_room(self, session: TargetSession, run: Run) -> None:
+        """Give it back, and take nothing until an end may have made room."""
+        session.retry_at = max(session.retry_at, self.clock() + NO_ROOM_PAUSE_S)
+        self.abandon_start(session, run, "no_room")
+
+    @after_start.register("invalid")
+    def invalid(self, session: TargetSession, run: Run) -> None:
+        """Give back a run that the target does not understand."""
+        self.abandon_start(session, run, "invalid")
+
+    @after_start.register("unwell")
+    def unwell(self, session: TargetSession, run: Run) -> None:
+        """Give it back, and leave the target alone for a while."""
+        self.back_off(session)
+        self.abandon_start(session, run, "unwell")
+
+    @after_start.register("unreachable")
+    def unreachable(self, session: TargetSession, run: Run) -> None:
+        """Give it back: the order was not sent."""
+        session.failures += 1
+        self.unwell(session, run)
+
+    @after_start.register("other_life")
+    def other_life(self, session: TargetSession, run: Run) -> None:
+        """Another life answers at the address: this one is over."""
+        self.sessions.pop(session.state.life.id, None)
+        self.end_session(session, "lost")
+
+    @after_start.register("unanswered")
+    def unsure(self, session: TargetSession, run: Run) -> None:
+        """Send it again; in the end have the list of runs tell whether it began.
+
+        Explanation
+        -----------
+        The same run begins once, however often its start arrives.
+        """
+        labelled(RETRIES, "start_unanswered").inc()
+        session.lost_answer_at = self.clock()
+        if run.repeats < START_REPEATS:
+            run.repeats += 1
+            self.order_start(session, run)
+            return
+        run.phase = UNSURE
+        run.moved_at = self.clock()
+        self.look(session)
+
+    def back_off(self, session: TargetSession) -> None:
+        """Take no runs for a while, longer each time."""
+        session.failures += 1
+        pause_s = min(UNWELL_LONGEST_S, UNWELL_FIRST_S * 2 ** (session.failures - 1))
+        session.retry_at = self.clock() + pause_s
+        self.room_changed()
+
+    @handles(StopReply)
+    def take_stop(self, reply: StopReply, sender: Incarnation) -> None:
+        """Remember when a stop was taken, or send it again."""
+        session = self.session_of(reply)
+        if session is None:
+            return
+        session.read_clock(reply.clock_ms, self.clock())
+        session.foreign.discard(reply.order.name)
+        run = session.runs.get(reply.order.name.task)
+        if run is None or run.name != reply.order.name or run.phase != STOPPING:
+            return
+        if reply.outcome == "stopped":
+            run.moved_at = self.clock()
+            self.look(session)
+        elif reply.outcome == "fenced":
+            session.fenced += 1
+            session.token = leases.next_token(session.token, session.fenced)
+            self.calls.put(StopOrder(session.target, run.name, session.token))
+        elif reply.outcome == "other_life":
+            self.other_life(session, run)
+        else:
+            run.tries += 1
+            self.calls.put(StopOrder(session.target, run.name, session.token))
--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -2,8 +2,9 @@
 
 import pytest
 
-from hawthorntrack.coordination.leaseholder import START_REPEATS, LeaseHolder
+from hawthorntrack.coordination.leaseholder import LeaseHolder
 from hawthorntrack.coordination.leases import LEASE_S, TRUST_S
+from hawthorntrack.coordination.target_orders import START_REPEATS
 from hawthorntrack.protocol.dispatch import (
     CheckRuns,
     DropJob,
--- a/hawthorntrack/coordination/waiting.py
+++ b/hawthorntrack/coordination/waiting.py
@@ -6,6 +6,7 @@
 """
 
 import math
+import zlib
 from collections.abc import Iterable, Mapping
 
 WAIT_SHARE = 0.4  # of the objective: what a stretch of 1.6 leaves beside the run
@@ -56,23 +57,36 @@
     return arrived + objective * factor
 
 
-def retry_after_s(waiting: int, answered_per_s: float) -> int:
+def spread_of(key: str) -> float:
+    """Return a number from 0 up to 1 that differs among jobs.
+
+    Examples
+    --------
+    >>> 0 <= spread_of("5c0e7a21d94b36f8") < 1
+    True
+    """
+    return zlib.crc32(key.encode()) / 2**32
+
+
+def retry_after_s(waiting: int, answered_per_s: float, spread: float) -> int:
     """Return when a caller should come back, in whole seconds.
 
     Explanation
     -----------
-    The time in which what waits now will have been answered, at the rate measured
-    lately.
+    Load pattern: a burst is turned away within a second, and would come back as
+    one wave. Callers come back in the time in which what waits now will have been
+    answered, at the rate measured lately, and are spread over as much again.
 
     Examples
     --------
-    >>> retry_after_s(20, 10.0), retry_after_s(0, 0.0)
-    (2, 1)
+    >>> retry_after_s(20, 10.0, 0.0), retry_after_s(20, 10.0, 0.9)
+    (2, 4)
+    >>> retry_after_s(0, 0.0, 0.0), retry_after_s(0, 0.0, 0.5)
+    (1, 2)
     """
-    if answered_per_s <= 0:
-        return RETRY_LEAST_S
-    wait = math.ceil(waiting / answered_per_s)
-    return min(RETRY_MOST_S, max(RETRY_LEAST_S, wait))
+    drain_s = waiting / answered_per_s if answered_per_s > 0 else 0.0
+    wait_s = max(RETRY_LEAST_S, drain_s)
+    return min(RETRY_MOST_S, math.ceil(wait_s * (1 + spread)))
 
 
 class FairShares:
--- a/hawthorntrack/daemon/node.py
+++ b/hawthorntrack/daemon/node.py
@@ -20,7 +20,7 @@
 from hawthorntrack.protocol.codec import codecs
 from hawthorntrack.protocol.dispatch import Hello
 from hawthorntrack.protocol.links import Send
-from hawthorntrack.protocol.local import Drain, StampSeen
+from hawthorntrack.protocol.local import Drain, DrainOver, StampSeen
 from hawthorntrack.protocol.messages import Envelope, of_the_bus
 from hawthorntrack.state.actor import Actor, Delivery
 from hawthorntrack.state.checking import InvalidInput
@@ -117,6 +117,9 @@
             drainer.mailbox.put(Drain())
             limit_s = self.settings.grace_s - STOP_RESERVE_S
             left = await self.drain(limit_s)
+            if left:
+                drainer.mailbox.put(DrainOver())
+                await asyncio.sleep(FLUSH_S)
             for server in self.servers:
                 await server.stop()
             await asyncio.sleep(FLUSH_S)
--- a/hawthorntrack/protocol/local.py
+++ b/hawthorntrack/protocol/local.py
@@ -51,6 +51,10 @@
     """Stop taking new work, and finish what runs."""
 
 
+class DrainOver(NamedTuple):
+    """The time to finish is over: answer what is left."""
+
+
 class Drained(NamedTuple):
     """This task has nothing left to finish."""
 
