--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
+WORKERS ?= 6
 
 .PHONY: setup demo test lint model bench slopes microbench clean
 
@@ -16,8 +17,10 @@
 demo: setup
 	$(BIN)/python -m hawthorntrack.experiment.demo
 
+# Side by side: tests take their ports by worker, and each module's shared deployment
+# stays with one of them. Long ones are handed out first by pytest_collection_modifyitems.
 test: setup
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(WORKERS) --dist worksteal
 
 lint: setup
 	$(BIN)/ruff format --check hawthorntrack
--- a/hawthorntrack/cli/tests/test_tool.py
+++ b/hawthorntrack/cli/tests/test_tool.py
@@ -13,7 +13,6 @@
 from hawthorntrack.experiment.launcher import Fleet
 from hawthorntrack.experiment.layout import deployments, document_body
 
-BASE_PORT = 31_000
 CALLERS = Path(__file__).parents[3] / "docs" / "CALLERS.md"
 
 pytestmark = pytest.mark.timeout(120)
@@ -51,11 +50,11 @@
 
 
 @pytest.fixture(scope="module")
-def scene(tmp_path_factory):
+def scene(tmp_path_factory, base_port):
     """Run a deployment of four guards for the tests of this module."""
     loop = asyncio.new_event_loop()
     deployment = deployments["jardim"]._replace(workers=4, zones=("recife", "olinda"))
-    fleet = Fleet(deployment, BASE_PORT, changes={"slots": 8})
+    fleet = Fleet(deployment, base_port, changes={"slots": 8})
     loop.run_until_complete(fleet.start())
     yield Tool(fleet, tmp_path_factory.mktemp("tool")), loop.run_until_complete
     loop.run_until_complete(fleet.close())
--- a/hawthorntrack/conftest.py
+++ b/hawthorntrack/conftest.py
@@ -1,6 +1,8 @@
 """Fixtures that tests of all layers share."""
 
+import os
 import random
+import socket
 from collections.abc import Callable, Iterator
 from typing import Any
 
@@ -13,6 +15,8 @@
 from hawthorntrack.state.values import Incarnation, JobSpec, Place, TargetLoad, TaskSpec
 
 SEED = 20_261_204
+FIRST_PORT = 20_000
+PORTS_PER_WORKER = 2_000  # test files that run side by side do not share any
 
 
 @pytest.fixture
@@ -23,6 +27,25 @@
     loop.close()
 
 
+@pytest.fixture(scope="session")
+def base_port() -> int:
+    """Return the first port of a range that no other test process uses."""
+    worker = os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")
+    return FIRST_PORT + PORTS_PER_WORKER * int(worker)
+
+
+@pytest.fixture
+def free_address() -> Callable[[], str]:
+    """Return a function that finds a loopback address nobody listens on."""
+
+    def find() -> str:
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            return f"127.0.0.1:{probe.getsockname()[1]}"
+
+    return find
+
+
 @pytest.fixture
 def rng() -> random.Random:
     """Return a source of chance that is the same in every run."""
@@ -36,7 +59,7 @@
 
 
 @pytest.fixture
-def settings() -> Settings:
+def settings(base_port: int) -> Settings:
     """Return a guard's settings."""
     return settings_of(
         {
@@ -44,8 +67,11 @@
             "zone": "recife",
             "rack": "recife-r0",
             "worker": "w000",
-            "listen": {"bus": Ports(31_000).bus(0), "http": Ports(31_000).http(0)},
-            "table": {"url": "http://127.0.0.1:31999"},
+            "listen": {
+                "bus": Ports(base_port + 1_500).bus(0),
+                "http": Ports(base_port + 1_500).http(0),
+            },
+            "table": {"url": f"http://{Ports(base_port + 1_500).table()}"},
             "slots": 4,
         },
         "test",
@@ -85,3 +111,16 @@
 def load() -> TargetLoad:
     """Return the load of an idle target."""
     return TargetLoad("visits", ("confirm", "reroute", "check"), 8, 0, 0, 1.0)
+
+
+LONG_FIRST = ("test_processes.py", "test_searches.py", "test_tool.py")
+
+
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """Begin with the long tests, so that none of them is left for the end."""
+
+    def rank(item: pytest.Item) -> int:
+        name = item.path.name
+        return LONG_FIRST.index(name) if name in LONG_FIRST else len(LONG_FIRST)
+
+    items.sort(key=rank)
--- a/hawthorntrack/coordination/run_placing.py
+++ b/hawthorntrack/coordination/run_placing.py
@@ -182,7 +182,8 @@
 
     def give_back(self, job: Job, task: Task, wait_s: float = 0.0) -> None:
         """Have a task placed again, unless its job is to start nothing more."""
-        task.guard = ""
+        if self.jobs.get(job.plan.key) is not job:
+            return
         if job.suspended:
             self.end(job, Abandoned("stood_still"))
             return
@@ -259,7 +260,7 @@
             if (found := self.task_at(peer, run)) and found[1].guard_life != peer.nonce
         ]
         for job, task in lost:
-            peer.runs.pop(task.name, None)
+            self.unplace(peer, task)
             labelled(RETRIES, "guard_restarted").inc()
             self.give_back(job, task)
 
@@ -281,8 +282,8 @@
             found = self.task_at(peer, run)
             if found is None:
                 continue
-            peer.runs.pop(run.task, None)
             job, task = found
+            self.unplace(peer, task)
             labelled(RETRIES, news.reason).inc()
             task.number = max(task.number, number + 1)
             if news.reason == "invalid":
@@ -301,11 +302,16 @@
             peer.unconfirmed.pop(ending.name, None)
             found = self.task_at(peer, ending.name)
             if found is not None:
-                peer.runs.pop(ending.name.task, None)
-                self.task_ended(*found, ending)
+                self.unplace(peer, found[1])
+                self.task_ended(*found, ending, peer.address)
         self.dirty = True
 
-    def task_ended(self, job: Job, task: Task, ending: Ending) -> None:
+    def unplace(self, peer: GuardPeer, task: Task) -> None:
+        """Note that nothing of a task is at a guard any more."""
+        peer.runs.pop(task.name, None)
+        task.phase, task.guard = WAITING, ""
+
+    def task_ended(self, job: Job, task: Task, ending: Ending, guard: str) -> None:
         """Go on with a job after one of its runs has ended."""
         if ending.how == "done":
             job.complete_task(task)
@@ -318,7 +324,7 @@
             job=job.plan.key,
             task=f"{task.name.step}.{task.name.index}",
             how=ending.how,
-            guard=task.guard,
+            guard=guard,
             failures=task.failures,
         )
         task.number = max(task.number, ending.number) + 1
@@ -327,12 +333,12 @@
             return
         if ending.how in JUDGED_ENDS:
             task.failures += 1
-            task.avoid |= {task.guard}
+            task.avoid |= {guard}
             if task.failures >= job.queue.max_attempts:
                 self.end(job, JobFailed("task_failed"))
                 return
         elif ending.how == "hung":
-            task.avoid |= {task.guard}
+            task.avoid |= {guard}
         self.give_back(job, task)
 
     def give_up_runs(self, peer: GuardPeer) -> None:
@@ -345,4 +351,5 @@
             if found is not None:
                 labelled(RETRIES, "guard_silent").inc()
                 found[1].number += 1
+                self.unplace(peer, found[1])
                 self.give_back(*found)
--- a/hawthorntrack/daemon/main.py
+++ b/hawthorntrack/daemon/main.py
@@ -11,7 +11,7 @@
 from hawthorntrack.coordination.control import Replaced
 from hawthorntrack.daemon.entry import run_entry
 from hawthorntrack.daemon.guard import run_guard
-from hawthorntrack.daemon.process import begin_log
+from hawthorntrack.daemon.logs import begin_log
 from hawthorntrack.state.checking import InvalidInput
 from hawthorntrack.state.settings import Settings, load_settings
 
--- a/hawthorntrack/daemon/noded.py
+++ b/hawthorntrack/daemon/noded.py
@@ -6,7 +6,7 @@
 
 import click
 
-from hawthorntrack.daemon.logs import begin_log
+from hawthorntrack.daemon.logs import begin_pipe_log
 from hawthorntrack.daemon.node import run_entry_node, run_guard_node
 from hawthorntrack.state.checking import InvalidInput
 from hawthorntrack.state.node import load_node_settings
@@ -40,7 +40,7 @@
     if check:
         click.echo(f"{path}: settings are in order")
         return
-    begin_log(settings.log)
+    begin_pipe_log()
     asyncio.run(roles[role](settings, os.fspath(path)))
 
 
--- a/hawthorntrack/daemon/process.py
+++ b/hawthorntrack/daemon/process.py
@@ -3,11 +3,9 @@
 import asyncio
 import secrets
 import signal
-import sys
 from collections.abc import Iterable
 from typing import Any
 
-import eliot
 import zmq.asyncio
 from eliot import log_message
 from transitions import Machine
@@ -15,7 +13,6 @@
 from hawthorntrack.coordination.control import Control
 from hawthorntrack.protocol import local
 from hawthorntrack.protocol.codec import codecs
-from hawthorntrack.protocol.logfmt import LineWriter
 from hawthorntrack.protocol.messages import Envelope, of_the_bus
 from hawthorntrack.state.actor import Actor, Delivery
 from hawthorntrack.state.mailbox import Mailbox, tick
@@ -229,9 +226,3 @@
         if change.view.stamp != self.stamp:
             self.stamp = change.view.stamp
             self.mailbox.put(StampChanged(self.stamp))
-
-
-def begin_log(path: str) -> None:
-    """Write events to a file, or to standard error for ``-``."""
-    stream = sys.stderr if path == "-" else open(path, "a", buffering=1)
-    eliot.add_destinations(LineWriter(stream))
--- a/hawthorntrack/experiment/tests/test_processes.py
+++ b/hawthorntrack/experiment/tests/test_processes.py
@@ -16,7 +16,6 @@
 from hawthorntrack.experiment.trace import read_trace
 
 TRACES = Path(__file__).parents[3] / "examples" / "traces"
-BASE_PORT = 27_000
 FAULTY = (
     "owner_killed",
     "entry_killed",
@@ -43,16 +42,16 @@
 
 
 @pytest.mark.parametrize("name", FAULTY)
-def test_trace_that_harms_processes_ends_as_stated(name):
-    replay = Replay(read_trace(TRACES / f"{name}.jsonl"), BASE_PORT)
+def test_trace_that_harms_processes_ends_as_stated(base_port, name):
+    replay = Replay(read_trace(TRACES / f"{name}.jsonl"), base_port)
     run = asyncio.run(replay.run())
     assert problems_of(replay, run) == []
 
 
 @pytest.mark.parametrize("deployment", PEACEFUL)
-def test_traces_in_turn_on_a_running_deployment_end_as_stated(deployment):
+def test_traces_in_turn_on_a_running_deployment_end_as_stated(base_port, deployment):
     async def replay_all():
-        fleet = Fleet(deployments[deployment], BASE_PORT + 2_000)
+        fleet = Fleet(deployments[deployment], base_port)
         problems = {}
         try:
             await fleet.start()
--- /dev/null
+++ b/hawthorntrack/platform/tests/test_calls.py
@@ -0,0 +1,264 @@
+"""Calls over real sockets: a small stand-in answers as the platform's pages say."""
+
+import asyncio
+import json
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from hawthorntrack.platform.front import CallersFront
+from hawthorntrack.platform.store import PlatformStore
+from hawthorntrack.platform.targets import HeartbeatFront, TargetCalls
+from hawthorntrack.protocol.jobs import CallerLeft, SubmitPlan
+from hawthorntrack.protocol.orders import (
+    Address,
+    Announced,
+    Departed,
+    HoldOrder,
+    StartOrder,
+)
+from hawthorntrack.state.mailbox import Mailbox
+from hawthorntrack.state.plans import RunName, TargetLife, TargetState, TaskName
+from hawthorntrack.state.store import Changes, HistoryGone, Unavailable
+from hawthorntrack.state.verdicts import (
+    Abandoned,
+    Completed,
+    JobFailed,
+    NoQueue,
+    Refused,
+    UnknownJob,
+)
+from hawthorntrack.transport.serving import HttpServer
+
+KEY = "5c0e7a21d94b36f8"
+
+
+class StandIn:
+    """Answers each path with what a test says, and keeps what it was sent."""
+
+    def __init__(self):
+        self.answers = {}
+        self.asked = []
+
+    async def answer(self, request):
+        self.asked.append((request, await request.read()))
+        status, value = self.answers[request.path]
+        if status is None:
+            request.transport.abort()
+            return web.Response()
+        return web.Response(status=status, body=json.dumps(value).encode())
+
+
+@pytest.fixture
+def with_server():
+    """Return a function that runs a test against an HTTP server on a free port."""
+
+    def play(handler, scene):
+        async def whole():
+            server = HttpServer("127.0.0.1:0", handler)
+            await server.start()
+            host, port = server.runner.addresses[0][:2]
+            try:
+                async with asyncio.timeout(10):
+                    return await scene(f"{host}:{port}")
+            finally:
+                await server.stop()
+
+        return asyncio.run(whole())
+
+    return play
+
+
+@pytest.fixture
+def stand_in():
+    return StandIn()
+
+
+@pytest.mark.parametrize(
+    ("answer", "outcome"),
+    [
+        ((200, {"clock_ms": 5}), "started"),
+        ((409, {"clock_ms": 5, "reason": "fence"}), "fenced"),
+        ((409, {"clock_ms": 5, "reason": "old"}), "old_run"),
+        ((409, {"clock_ms": 5, "reason": "late"}), "late"),
+        ((409, {"clock_ms": 5, "reason": "room"}), "no_room"),
+        ((409, {"clock_ms": 5, "reason": "new"}), "invalid"),
+        ((400, {}), "invalid"),
+        ((421, {}), "other_life"),
+        ((429, {}), "unwell"),
+        ((503, []), "unwell"),
+        ((None, None), "unanswered"),
+    ],
+)
+def test_outcome_of_a_start(with_server, stand_in, answer, outcome):
+    stand_in.answers["/v1/run-start"] = answer
+
+    async def scene(address):
+        replies = Mailbox("replies")
+        calls = TargetCalls(replies)
+        task = asyncio.create_task(calls.run())
+        target = Address(TargetLife("i-1", 7), address)
+        name = RunName(TaskName(KEY, 0, 0, 3), 2)
+        calls.mailbox.put(StartOrder(target, name, "text", 900, 50))
+        reply = await replies.get()
+        task.cancel()
+        return reply
+
+    reply = with_server(stand_in.answer, scene)
+    assert reply.outcome == outcome
+    request, sent = stand_in.asked[0]
+    assert request.headers["Hawthorntrack-Expected-Instance"] == "i-1"
+    assert json.loads(sent)["task"] == f"{KEY}.0.0.3"
+
+
+def test_port_that_nobody_listens_on_means_not_sent(with_server, stand_in):
+    async def scene(address):
+        replies = Mailbox("replies")
+        calls = TargetCalls(replies)
+        task = asyncio.create_task(calls.run())
+        target = Address(TargetLife("i-1", 7), "127.0.0.1:9")
+        name = RunName(TaskName(KEY, 0, 0, 3), 2)
+        calls.mailbox.put(StartOrder(target, name, "text", 900, 50))
+        reply = await replies.get()
+        task.cancel()
+        return reply.outcome
+
+    assert with_server(stand_in.answer, scene) == "unreachable"
+
+
+def test_lists_that_cannot_be_read_count_as_no_answer(with_server, stand_in):
+    stand_in.answers["/v1/hold"] = (200, {"clock_ms": 1, "running": [["x"]]})
+
+    async def scene(address):
+        replies = Mailbox("replies")
+        calls = TargetCalls(replies)
+        task = asyncio.create_task(calls.run())
+        target = Address(TargetLife("i-1", 7), address)
+        calls.mailbox.put(HoldOrder(target, None, 1, 0, 0.0, 0.0))
+        reply = await replies.get()
+        task.cancel()
+        return reply.outcome
+
+    assert with_server(stand_in.answer, scene) == "unanswered"
+
+
+@pytest.mark.parametrize(
+    ("answer", "outcome"),
+    [
+        ((200, {"ver": 4, "rows": []}), Changes((), 4)),
+        ((410, {}), HistoryGone()),
+        ((429, {}), Unavailable("limited")),
+        ((503, {}), Unavailable("busy")),
+        ((200, {"rows": []}), Unavailable("malformed")),
+        ((None, None), Unavailable("unanswered")),
+    ],
+)
+def test_outcome_of_a_watch(with_server, stand_in, answer, outcome):
+    stand_in.answers["/v1/rows-feed"] = answer
+
+    async def scene(address):
+        store = PlatformStore(address)
+        try:
+            return await store.watch("op", 3, 0.1)
+        finally:
+            await store.close()
+
+    assert with_server(stand_in.answer, scene) == outcome
+
+
+def test_heartbeats_and_farewells_become_news(with_server):
+    news = Mailbox("news")
+
+    async def scene(address):
+        url = f"http://{address}/v1/executors/i-1"
+        beat = {"service": "s", "address": "h:1", "zone": "z", "state": "ready"}
+        async with aiohttp.ClientSession() as session:
+            for data in (json.dumps(beat | {"seq": 1}), json.dumps(beat), "\xff"):
+                async with session.put(url, data=data) as response:
+                    assert response.status == 200
+            async with session.delete(url) as response:
+                assert response.status == 200
+        return [await news.get() for _ in range(4)]
+
+    first, second, third, last = with_server(HeartbeatFront(news).answer, scene)
+    assert isinstance(first.state, TargetState)
+    assert not isinstance(second.state, TargetState)
+    assert isinstance(third, Announced)
+    assert last == Departed("i-1")
+
+
+async def submit(address, data=None, headers=None):
+    """Hand a job in; return status, headers and body of the response."""
+    body = data or json.dumps({"best_effort": True, "steps": [{"count": 1}]})
+    async with (
+        aiohttp.ClientSession() as session,
+        session.post(
+            f"http://{address}/q/{KEY}", data=body, headers=headers
+        ) as response,
+    ):
+        return response.status, response.headers, await response.json()
+
+
+@pytest.mark.parametrize(
+    ("verdict", "status"),
+    [
+        (Completed(), 200),
+        (JobFailed("task_failed"), 200),
+        (Refused("overloaded", 2, True), 429),
+        (Refused("draining", 1), 503),
+        (Abandoned("deadline"), 504),
+        (NoQueue(), 404),
+        (UnknownJob(), 410),
+    ],
+)
+def test_verdict_becomes_a_response(with_server, verdict, status):
+    dispatcher = Mailbox("dispatcher")
+
+    async def scene(address):
+        call = asyncio.create_task(submit(address))
+        (await dispatcher.get()).reply.set_result(verdict)
+        return await call
+
+    got, headers, _ = with_server(CallersFront(dispatcher).answer, scene)
+    assert got == status
+    if isinstance(verdict, Refused):
+        assert headers["Retry-After"] == str(verdict.retry_after_s)
+
+
+def test_body_that_is_no_job_reaches_the_dispatcher_as_a_problem(with_server):
+    dispatcher = Mailbox("dispatcher")
+
+    async def scene(address):
+        call = asyncio.create_task(submit(address, data="{"))
+        message = await dispatcher.get()
+        message.reply.set_result(NoQueue())
+        await call
+        return message
+
+    message = with_server(CallersFront(dispatcher).answer, scene)
+    assert message.plan is None
+    assert message.problem
+
+
+def test_body_beyond_the_bound_is_turned_away(with_server):
+    dispatcher = Mailbox("dispatcher")
+
+    async def scene(address):
+        return await submit(address, data="x" * 300_000)
+
+    assert with_server(CallersFront(dispatcher).answer, scene)[0] == 413
+
+
+def test_caller_that_leaves_is_reported(with_server):
+    dispatcher = Mailbox("dispatcher")
+
+    async def scene(address):
+        call = asyncio.create_task(submit(address))
+        first = await dispatcher.get()
+        call.cancel()
+        return first, await dispatcher.get()
+
+    first, second = with_server(CallersFront(dispatcher).answer, scene)
+    assert isinstance(first, SubmitPlan)
+    assert second == CallerLeft(KEY, first.reply)
--- /dev/null
+++ b/hawthorntrack/platform/tests/test_formats.py
@@ -0,0 +1,212 @@
+"""The platform's bodies, well formed and otherwise."""
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hawthorntrack.platform import formats
+from hawthorntrack.platform.formats import Malformed
+from hawthorntrack.state.directives import Member, StoreRow
+from hawthorntrack.state.plans import RunName, RunStatus, TaskName
+from hawthorntrack.state.resources import Resources
+
+KEY = "5c0e7a21d94b36f8"
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(
+            st.sampled_from(["steps", "count", "state", "running", "rows", "ver"])
+            | st.text(max_size=6),
+            inner,
+            max_size=5,
+        )
+    ),
+    max_leaves=12,
+)
+
+
+def body(value):
+    """Return a value as a body."""
+    return json.dumps(value).encode()
+
+
+@pytest.fixture
+def beat():
+    """Return a target's heartbeat."""
+    return {
+        "service": "huvo11a",
+        "address": "10.128.0.9:8080",
+        "zone": "recife",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "cold_remaining_ms": 0,
+        "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
+        "labels": ["a", "r1-3"],
+        "clock_ms": 482113,
+        "seq": 4,
+        "born": 1777896939785,
+    }
+
+
+def test_job_in_steps_is_decoded_with_what_it_leaves_out():
+    plan = formats.plan_of(
+        KEY,
+        body(
+            {
+                "spec": "text",
+                "best_effort": True,
+                "steps": [
+                    {"count": 4, "cpu": 500, "mem_mb": 256, "affinity": "r1-3"},
+                    {"count": 2, "cpu": 2000, "after": [0], "estimate_ms": 700},
+                ],
+            }
+        ),
+    )
+    first, second = plan.steps
+    assert (first.count, first.need, first.rack) == (4, Resources(500, 256), "r1-3")
+    assert (second.after, second.estimate_s) == ((0,), 0.7)
+    assert not plan.kept
+
+
+def test_job_is_kept_unless_it_says_otherwise():
+    assert formats.plan_of(KEY, body({"steps": [{"count": 1}]})).kept
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        {},
+        {"steps": []},
+        {"steps": [{"count": 0}]},
+        {"steps": [{"count": 1, "after": [0]}]},
+        {"steps": [{"count": 1, "after": [-1]}]},
+        {"steps": [{"count": "4"}]},
+        [],
+    ],
+)
+def test_body_that_is_no_job_is_refused(value):
+    with pytest.raises(Malformed):
+        formats.plan_of(KEY, body(value))
+
+
+def test_heartbeat_is_decoded(beat):
+    state = formats.target_state_of("i-1", body(beat))
+    assert state.life == ("i-1", 1777896939785)
+    assert state.capacity == Resources(16_000, 32_768, 0)
+    assert not state.draining
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [("state", "odd"), ("seq", "4"), ("address", "nowhere"), ("capacity", [1])],
+)
+def test_heartbeat_of_another_writer_names_no_target(beat, field, value):
+    beat[field] = value
+    with pytest.raises(Malformed):
+        formats.target_state_of("i-1", body(beat))
+
+
+@pytest.mark.parametrize("field", ["service", "address", "zone", "state", "seq"])
+def test_heartbeat_without_a_field_names_no_target(beat, field):
+    del beat[field]
+    with pytest.raises(Malformed):
+        formats.target_state_of("i-1", body(beat))
+
+
+def test_lists_of_runs_are_decoded():
+    clock_ms, born_ms, running, ended = formats.lists_of(
+        body(
+            {
+                "clock_ms": 482113,
+                "born": 7,
+                "running": [[f"{KEY}.0.1.17", 2, "", 41, 1600]],
+                "ended": [[58, f"{KEY}.0.1.9", 1, "done", ""]],
+            }
+        )
+    )
+    assert (clock_ms, born_ms) == (482113, 7)
+    assert running == (RunStatus(RunName(TaskName(KEY, 0, 1, 17), 2), 41),)
+    assert (ended[0].number, ended[0].how) == (58, "done")
+
+
+def test_rows_are_decoded_with_the_removed_ones():
+    changes, more = formats.page_of(
+        body(
+            {
+                "ver": 533,
+                "now_ms": 1,
+                "more_pages": True,
+                "rows": [
+                    {"table": "op", "part": "", "key": "a", "value": "eA==", "ver": 7},
+                    {"table": "op", "part": "", "key": "b", "ver": 8, "deleted": True},
+                ],
+            }
+        )
+    )
+    assert changes.rows == (StoreRow("a", b"x", 7), StoreRow("b", b"", 8, True))
+    assert (changes.version, more) == (533, True)
+
+
+def test_directives_come_from_the_operators_rows():
+    config = {
+        "version": 7,
+        "routes": [
+            {
+                "name": "r",
+                "hostname": "nony24.example",
+                "path_prefix": "/lohu930/",
+                "target_latency_ms": 60,
+                "service": "huvo11a",
+                "max_attempts": 3,
+                "stretch": 1.6,
+            }
+        ],
+        "services": [{"name": "huvo11a", "enforces_capacity": True}],
+    }
+    rows = {
+        "config": StoreRow("config", body(config), 3),
+        "evacuate/recife": StoreRow("evacuate/recife", b"{}", 9),
+    }
+    directives = formats.directives_of(rows, 9)
+    assert directives.catalogue.version == 7
+    assert directives.catalogue.queues[0].latency_target_s == 0.06
+    assert directives.zones_out == {"recife"}
+
+
+def test_member_rows_that_cannot_be_read_name_nobody():
+    member = Member("10.0.0.1:7720", "guard", "recife", "side-1")
+    rows = [
+        StoreRow(member.address, formats.member_value(member), 1),
+        StoreRow("10.0.0.2:7720", b"\xff", 2),
+        StoreRow("10.0.0.3:7720", b"{}", 3),
+    ]
+    assert formats.members_of(rows) == (member,)
+
+
+@given(JSON_VALUES)
+def test_any_json_is_decoded_or_refused_and_nothing_else(value):
+    data = body(value)
+    for decode in (
+        lambda: formats.plan_of(KEY, data),
+        lambda: formats.target_state_of("i-1", data),
+        lambda: formats.lists_of(data),
+        lambda: formats.page_of(data),
+        lambda: formats.catalogue_of(data),
+    ):
+        try:
+            decode()
+        except Malformed:
+            pass
+
+
+@given(st.binary(max_size=60))
+def test_any_bytes_are_decoded_or_refused_and_nothing_else(data):
+    for decode in (formats.lists_of, formats.page_of, formats.catalogue_of):
+        try:
+            decode(data)
+        except Malformed:
+            pass
--- a/hawthorntrack/state/node.py
+++ b/hawthorntrack/state/node.py
@@ -31,7 +31,6 @@
     seeds: NotRequired[list[str] | None]
     grace_s: NotRequired[Seconds]
     far_factor: NotRequired[Factor]
-    log: NotRequired[str]
 
 
 class NodeSettings(NamedTuple):
@@ -68,7 +67,6 @@
     seeds: tuple[str, ...]
     grace_s: float
     far_factor: float
-    log: str
 
 
 def node_settings_of(data: Any, source: str) -> NodeSettings:
@@ -100,7 +98,6 @@
         seeds=tuple(seed.rpartition(":")[0] for seed in seeds),
         grace_s=body.get("grace_s", 6.0),
         far_factor=body.get("far_factor", 1.0),
-        log=body.get("log", "-"),
     )
 
 
--- a/hawthorntrack/state/tests/test_settings.py
+++ b/hawthorntrack/state/tests/test_settings.py
@@ -19,8 +19,8 @@
 
 
 @pytest.fixture
-def body():
-    return settings_body(deployments["jardim"], Ports(31_000), 0, "-", {})
+def body(base_port):
+    return settings_body(deployments["jardim"], Ports(base_port + 1_500), 0, "-", {})
 
 
 @pytest.fixture
