Say in the log what an answer depended on

Cause: for a job that was refused for load, the log told the reason and the time but not the inputs: how many guards took runs, what room they reported, how old the oldest report was, what waited. Lines of answers other than completed ones and of runs that a guard refused carry them now.

--- a/hawthorntrack/coordination/dispatcher.py
+++ b/hawthorntrack/coordination/dispatcher.py
@@ -266,10 +266,31 @@
             after_ms=round((now - job.arrived) * 1000),
             objective_ms=round(job.objective * 1000),
             stopped=sum(map(len, stops.values())),
+            **({} if name == "completed" else self.circumstances(job, now)),
         )
         self.dirty = True
         self.report_drained()
 
+    def circumstances(self, job: Job, now: float) -> dict[str, object]:
+        """Return what a job's answer depended on, for the log.
+
+        Explanation
+        -----------
+        Guards that take runs with the room that they report, the age of the oldest
+        of these reports, and the jobs that wait.
+        """
+        zones_out = self.directives.zones_out
+        peers = [peer for peer in self.peers.values() if peer.open(now, zones_out)]
+        ages = [now - peer.heard_at for peer in peers]
+        return {
+            "queue": job.queue.name,
+            "as_of": self.directives.stamp,
+            "guards_open": len(peers),
+            "free_cpu_m": sum(max(0, peer.place().free.cpu_m) for peer in peers),
+            "oldest_report_ms": round(1000 * max(ages, default=0.0)),
+            "waiting": sum(not other.begun for other in self.jobs.values()),
+        }
+
     @handles(DirectivesChanged)
     def take_directives(self, news: DirectivesChanged, sender: Incarnation) -> None:
         """Go by what operators have put in force."""
--- a/hawthorntrack/coordination/leaseholder.py
+++ b/hawthorntrack/coordination/leaseholder.py
@@ -233,10 +233,23 @@
         """Tell an entry instance that runs did not start and never will."""
         names = tuple(names)
         labelled(NOT_RUN, reason).inc(len(names))
-        log_event("run:refused", job=names[0].task.job, count=len(names), reason=reason)
+        session = self.current()
+        log_event(
+            "run:refused",
+            job=names[0].task.job,
+            count=len(names),
+            reason=reason,
+            owner=owner,
+            free_cpu_m=session.free.cpu_m if session is not None else 0,
+            target_age_ms=self.age_ms(session),
+        )
         numbers = tuple(self.numbers.get(name.task, 0) for name in names)
         self.send(owner, RunsRefused(names, numbers, reason, self.room()))
 
+    def age_ms(self, session: TargetSession | None) -> int:
+        """Return how long ago the target was last heard, in milliseconds."""
+        return round((self.clock() - session.heard_at) * 1000) if session else -1
+
     @handles(StopRuns)
     def stop_runs(self, order: StopRuns, sender: Incarnation) -> None:
         """Stop runs that their owner no longer wants."""
