--- a/hawthorntrack/experiment/main.py
+++ b/hawthorntrack/experiment/main.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 import click
+import looptime
 import msgspec
 
 from hawthorntrack.coordination.placement import policies
@@ -13,6 +14,8 @@
 from hawthorntrack.experiment.demo import problems_of, show_answer
 from hawthorntrack.experiment.launcher import Fleet
 from hawthorntrack.experiment.layout import deployments
+from hawthorntrack.experiment.model_faults import troubles
+from hawthorntrack.experiment.model_site import SMALL_SITE, ModelSite, Tally
 from hawthorntrack.experiment.replay import Replay
 from hawthorntrack.experiment.scenarios import scenarios
 from hawthorntrack.experiment.slopes import measure_all
@@ -20,6 +23,8 @@
 from hawthorntrack.experiment.trace import read_trace
 from hawthorntrack.standins.serving import until_stopped
 
+LOOP_START_S = 1_000.0
+
 
 @click.group()
 def main() -> None:
@@ -129,5 +134,25 @@
         await fleet.close()
 
 
+@main.command()
+@click.option("--load", default=1.0, show_default=True, help="Factor on arrivals.")
+@click.option("--seconds", default=10.0, show_default=True, help="Simulated time.")
+@click.option("--trouble", "name", default="none", type=click.Choice(troubles.names()))
+@click.option("--seed", default=1, show_default=True)
+def site(load: float, seconds: float, name: str, seed: int) -> None:
+    """Play a site of leased targets in simulated time; exit 1 on a doubled run."""
+    model = ModelSite(SMALL_SITE, seed)
+    loop = looptime.new_event_loop(start=LOOP_START_S)
+    play = model.play(seconds, troubles[name], factor=lambda at: load)
+    tallies = loop.run_until_complete(play)
+    loop.close()
+    click.echo(f"{'queue':10} {' '.join(f'{name:>8}' for name in Tally._fields)}")
+    for queue, tally in tallies.items():
+        click.echo(f"{queue:10} {' '.join(f'{count:8}' for count in tally)}")
+    for violation in model.violations:
+        click.echo(f"WRONG: {violation}")
+    sys.exit(1 if model.violations else 0)
+
+
 if __name__ == "__main__":
     main()
--- a/hawthorntrack/experiment/model_site.py
+++ b/hawthorntrack/experiment/model_site.py
@@ -67,6 +67,18 @@
     latency_target_s: float = 0.06
 
 
+SMALL_SITE = Site(
+    ("recife", "olinda", "jaboatao"),
+    (0.7, 0.7, 1.7, 0.7, 0.7, 1.7, 0.7, 0.7, 1.7, 0.7, 0.7),
+    Resources(16_000, 32_768),
+    (
+        Kind("confirm", 0, 17.2, 8, 0.12, 1_600),
+        Kind("reroute", 2, 3.1, 4, 1.8, 1_600),
+        Kind("check", 1, 50.0, 2, 0.4, 1_600),
+    ),
+)
+
+
 class Tally(NamedTuple):
     """How the jobs of one kind were answered."""
 
--- a/hawthorntrack/experiment/tests/test_model_site.py
+++ b/hawthorntrack/experiment/tests/test_model_site.py
@@ -3,8 +3,7 @@
 import pytest
 
 from hawthorntrack.experiment.model_faults import troubles
-from hawthorntrack.experiment.model_site import Kind, ModelSite, Site
-from hawthorntrack.state.resources import Resources
+from hawthorntrack.experiment.model_site import SMALL_SITE, ModelSite, Site
 
 SECONDS = 5.0
 CALM_DAY_IN_TIME = 0.93  # the users' upper mark for a quiet day
@@ -17,16 +16,7 @@
 @pytest.fixture
 def small_site() -> Site:
     """Return a site of three entry instances and eleven unlike targets."""
-    return Site(
-        ("recife", "olinda", "jaboatao"),
-        (0.7, 0.7, 1.7, 0.7, 0.7, 1.7, 0.7, 0.7, 1.7, 0.7, 0.7),
-        Resources(16_000, 32_768),
-        (
-            Kind("confirm", 0, 17.2, 8, 0.12, 1_600),
-            Kind("reroute", 2, 3.1, 4, 1.8, 1_600),
-            Kind("check", 1, 50.0, 2, 0.4, 1_600),
-        ),
-    )
+    return SMALL_SITE
 
 
 @pytest.mark.parametrize("name", troubles.names())
