Remove what nothing uses; name the step's fields and the due placing

Four definitions had no use (a settings message, a job's work, a target's time left, its field on the wire). No decision changed; tests of dispatcher, lease holder, follower and adapter pass.

--- a/hawthorntrack/coordination/dispatcher.py
+++ b/hawthorntrack/coordination/dispatcher.py
@@ -106,8 +106,8 @@
             self.notice_suspension(now - self.handled_at)
         self.handled_at = now
         super().handle(message)
-        if self.dirty and self.mailbox.queue.empty():
-            self.dirty = False
+        if self.placing_due and self.mailbox.queue.empty():
+            self.placing_due = False
             self.place_waiting()
 
     def notice_suspension(self, lasted_s: float) -> None:
@@ -154,7 +154,7 @@
             objective_ms=round(job.objective * 1000),
             config=self.directives.catalogue.version,
         )
-        self.dirty = True
+        self.placing_due = True
 
     def admit(self, order: SubmitPlan, queue: Queue, now: float) -> Verdict | None:
         """Return why a job is not taken, or None."""
@@ -268,7 +268,7 @@
             stopped=sum(map(len, stops.values())),
             **({} if name == "completed" else self.circumstances(job, now)),
         )
-        self.dirty = True
+        self.placing_due = True
         self.report_drained()
 
     def circumstances(self, job: Job, now: float) -> dict[str, object]:
@@ -304,7 +304,7 @@
             zones_out=",".join(sorted(news.directives.zones_out)),
         )
         self.report_ready()
-        self.dirty = True
+        self.placing_due = True
 
     @handles(Tick)
     def keep_time(self, tick: Tick, sender: Incarnation) -> None:
--- a/hawthorntrack/coordination/progress.py
+++ b/hawthorntrack/coordination/progress.py
@@ -140,11 +140,3 @@
     def complete(self) -> bool:
         """Return whether all tasks are done."""
         return not any(self.undone)
-
-    @property
-    def work(self) -> float:
-        """Return the declared work in core-seconds."""
-        return sum(
-            step.count * step.need.cpu_m / 1000 * step.estimate_s
-            for step in self.plan.steps
-        )
--- a/hawthorntrack/coordination/run_placing.py
+++ b/hawthorntrack/coordination/run_placing.py
@@ -84,7 +84,7 @@
         self.jobs: dict[str, Job] = {}
         self.peers: dict[str, GuardPeer] = {}
         self.shares = FairShares()
-        self.dirty = False
+        self.placing_due = False
 
     def end(self, job: Job, verdict: Verdict) -> None:
         """Answer a job and stop what still runs of it."""
@@ -190,7 +190,7 @@
         task.phase = "paused" if wait_s else WAITING
         if wait_s:
             self.later(wait_s, Retake(task.name))
-        self.dirty = True
+        self.placing_due = True
 
     @handles(Retake)
     def retake(self, order: Retake, sender: Incarnation) -> None:
@@ -199,7 +199,7 @@
         task = job.tasks.get(order.task) if job else None
         if task is not None and task.phase == "paused":
             task.phase = WAITING
-            self.dirty = True
+            self.placing_due = True
 
     def peer(self, sender: Incarnation) -> GuardPeer:
         """Return what is known of a guard, with the time it was heard."""
@@ -250,7 +250,7 @@
         if peer.room.standing == "ready":
             self.forget_earlier_life(peer)
         self.report_ready()
-        self.dirty = True
+        self.placing_due = True
 
     def forget_earlier_life(self, peer: GuardPeer) -> None:
         """Place again what an earlier life of a guard had; its target has none."""
@@ -291,7 +291,7 @@
             else:
                 busy = news.reason == "still_running"
                 self.give_back(job, task, RETAKE_S if busy else 0.0)
-        self.dirty = True
+        self.placing_due = True
 
     @handles(RunsEnded)
     def take_ended(self, news: RunsEnded, sender: Incarnation) -> None:
@@ -304,7 +304,7 @@
             if found is not None:
                 self.unplace(peer, found[1])
                 self.task_ended(*found, ending, peer.address)
-        self.dirty = True
+        self.placing_due = True
 
     def unplace(self, peer: GuardPeer, task: Task) -> None:
         """Note that nothing of a task is at a guard any more."""
--- a/hawthorntrack/platform/formats.py
+++ b/hawthorntrack/platform/formats.py
@@ -63,7 +63,7 @@
     )
 
 
-class ResourceFields(msgspec.Struct):
+class StepFields(msgspec.Struct):
     """What `msgspec` checks of a step before it is translated."""
 
     count: int
@@ -81,7 +81,7 @@
 class JobFields(msgspec.Struct):
     """The body of a job, as far as this product reads it."""
 
-    steps: tuple[ResourceFields, ...]
+    steps: tuple[StepFields, ...]
     spec: str = ""
     best_effort: bool = False
 
@@ -138,7 +138,6 @@
     labels: tuple[str, ...] = ()
     clock_ms: int = 0
     born: int = 0
-    remaining_ms: int | None = None
 
 
 beat_decoder = msgspec.json.Decoder(BeatFields)
@@ -159,7 +158,6 @@
         raise Malformed(str(error)) from error
     if beat.state not in STATES or ":" not in beat.address:
         raise Malformed(f"state {beat.state!r}, address {beat.address!r}")
-    leaves = None if beat.remaining_ms is None else beat.remaining_ms / 1000
     return TargetState(
         TargetLife(target, beat.born),
         beat.service,
@@ -170,7 +168,6 @@
         beat.labels,
         beat.seq,
         beat.clock_ms,
-        leaves,
     )
 
 
--- a/hawthorntrack/protocol/orders.py
+++ b/hawthorntrack/protocol/orders.py
@@ -108,7 +108,3 @@
     """The target says that it has ended."""
 
     target: str
-
-
-class Reload(NamedTuple):
-    """The settings file has changed."""
--- a/hawthorntrack/state/plans.py
+++ b/hawthorntrack/state/plans.py
@@ -122,8 +122,6 @@
         Its kind and its rack.
     clock_ms : int
         Its own steady clock, which leases are measured on.
-    leaves_in_s : float or None
-        Time that is left at least while it drains.
     """
 
     life: TargetLife
@@ -135,4 +133,3 @@
     labels: tuple[str, ...]
     sequence: int
     clock_ms: int = 0
-    leaves_in_s: float | None = None
