Hold targets against each other, so that none is passed over when all look slow

Lost answers made ends come late, so every target was measured as slow, and the rule that passes over targets which end too late passed all of them. Change: a target is passed over if it is 2.5 times slower than the median of those that take runs; ends told within a second of a lost answer are not measured.

Ruled out: load (arrivals as usual), a cut (reports 114 to 198 ms old), room that did not fit (tasks of 1.6 cores).

--- a/hawthorntrack/coordination/leaseholder.py
+++ b/hawthorntrack/coordination/leaseholder.py
@@ -308,7 +308,7 @@
             if how in ("done", "failed"):
                 self.judge(run, spoiled=how == "failed")
             if how == "done":
-                self.measure(run, now)
+                self.measure(session, run, now)
             ending = Ending(run.order.name, run.name.run, how)
             self.settled[run.name.task] = (now, ending)
             by_owner[run.owner].append(ending)
--- a/hawthorntrack/coordination/packing.py
+++ b/hawthorntrack/coordination/packing.py
@@ -6,7 +6,6 @@
 
 import math
 from collections.abc import Iterable
-from operator import itemgetter
 from typing import NamedTuple
 
 from hawthorntrack.coordination.placement import OTHER_ZONE_MS
@@ -59,7 +58,7 @@
     zone: str,
     far_factor: float,
     avoid: frozenset[str] = frozenset(),
-    longest_s: float = math.inf,
+    slowest: float = math.inf,
 ) -> Place | None:
     """Return the place where a task should end first, or None if none has room.
 
@@ -75,17 +74,18 @@
         Factor on the run time away from the step's rack.
     avoid : frozenset of str
         Guards where the task failed; used only if no other has room.
-    longest_s : float
-        Places where it is expected to take longer are passed over.
+    slowest : float
+        Places with a higher slowness are passed over.
     """
     able = [
         place
         for place in places
         if step.need.fits(place.free)
+        and place.room.slowness <= slowest
         and suits(place.room, step)
         and not (step.per_target and place.siblings >= step.per_target)
     ]
     better = [place for place in able if place.address not in avoid] or able
-    expected = [(expected_s(p, step, zone, far_factor), p) for p in better]
-    soonest, place = min(expected, key=itemgetter(0), default=(math.inf, None))
-    return place if soonest <= longest_s else None
+    return min(
+        better, key=lambda p: expected_s(p, step, zone, far_factor), default=None
+    )
--- a/hawthorntrack/coordination/run_placing.py
+++ b/hawthorntrack/coordination/run_placing.py
@@ -1,8 +1,10 @@
 """The part of a dispatcher that places tasks on guards and follows their runs."""
 
 import asyncio
+import math
 from collections import defaultdict
 from collections.abc import Callable
+from statistics import median
 from typing import Any, NamedTuple
 
 from hawthorntrack.coordination.packing import choose_place
@@ -10,7 +12,7 @@
 from hawthorntrack.coordination.progress import PLACED, WAITING, Job, Task
 from hawthorntrack.coordination.waiting import (
     FairShares,
-    latest_end,
+    slowest_taken,
 )
 from hawthorntrack.protocol.dispatch import (
     CheckRuns,
@@ -117,10 +119,11 @@
             jobs.sort(key=lambda job: (not job.begun, job.arrived))
         batches: dict[tuple[str, str], list[RunOrder]] = defaultdict(list)
         heads = {name: iter(jobs) for name, jobs in queues.items()}
+        usual = median(place.room.slowness for place in places.values())
         while heads:
             name = self.shares.lowest(heads)
             job = next(heads[name], None)
-            if job is None or not self.place_job(job, places, batches, now):
+            if job is None or not self.place_job(job, places, batches, usual, now):
                 del heads[name]
         for (key, address), orders in batches.items():
             job = self.jobs[key]
@@ -134,12 +137,13 @@
         job: Job,
         places: dict[str, Any],
         batches: dict[tuple[str, str], list[RunOrder]],
+        usual: float,
         now: float,
     ) -> bool:
         """Place a job's waiting tasks; return whether all of them found room."""
-        end_by = latest_end(
-            job.arrived, job.objective, job.patient_until, now, job.begun
-        )
+        waited_s = math.inf if job.begun else now - job.arrived
+        patience = job.patient_until - job.arrived
+        slowest = slowest_taken(usual, waited_s, patience)
         for task in job.waiting():
             place = choose_place(
                 (p for p in places.values() if p.room.service == job.queue.service),
@@ -147,7 +151,7 @@
                 self.zone,
                 self.far_factor,
                 task.avoid,
-                end_by - now,
+                slowest,
             )
             if place is None:
                 return False
--- a/hawthorntrack/coordination/target_lists.py
+++ b/hawthorntrack/coordination/target_lists.py
@@ -31,6 +31,7 @@
 SILENT_S = 4.0  # two heartbeats and some; a target's usual interval is 1.5 s
 DOUBLED_S = 3.0  # after a lost answer; such troubles last for seconds
 HUNG_S = 0.35  # even a target slowed tenfold shows progress in this time
+LATE_ENDS_S = 1.0  # after a lost answer: as long as ends may be told late
 SLOWNESS_WEIGHT = 0.1  # of the newest run in the average
 
 
@@ -242,8 +243,15 @@
             self.calls.put(StopOrder(session.target, name, session.token))
         session.foreign = foreign
 
-    def measure(self, run: Run, now: float) -> None:
-        """Average the run time over the declared one."""
+    def measure(self, session: TargetSession, run: Run, now: float) -> None:
+        """Average the run time over the declared one.
+
+        Explanation
+        -----------
+        Ends that are told late, since answers are being lost, say nothing of it.
+        """
+        if now < session.lost_answer_at + LATE_ENDS_S:
+            return
         declared_s = run.order.estimate_ms / 1000
         if declared_s > 0:
             ratio = min(20.0, (now - run.began_at) / declared_s)
--- a/hawthorntrack/coordination/waiting.py
+++ b/hawthorntrack/coordination/waiting.py
@@ -11,9 +11,8 @@
 
 WAIT_SHARE = 0.4  # of the objective: what a stretch of 1.6 leaves beside the run
 LEAST_WAIT_S = 0.03  # two round trips between zones and a guard's answer
-EARLY_SHARE = 0.6  # of its patience a job holds out for a place that is in time
-EARLY_FACTOR = 1.4  # on the objective: measured slowness is off by some tenths
-USELESS_FACTOR = 3.0  # times the objective: callers have no use for later answers
+EARLY_SHARE = 0.6  # of its patience a job holds out for a usual target
+FAR_SLOWER = 2.5  # times the usual: models of targets differ by less than that
 RETRY_LEAST_S = 1
 RETRY_MOST_S = 5
 
@@ -34,27 +33,30 @@
     return max(LEAST_WAIT_S, objective * WAIT_SHARE)
 
 
-def latest_end(
-    arrived: float, objective: float, patient_until: float, now: float, begun: bool
-) -> float:
-    """Return by when a task should end at the place that it is given.
+def slowest_taken(usual: float, waited_s: float, patience: float) -> float:
+    """Return how slow a target may be to get a task now.
 
     Explanation
     -----------
     Load pattern: a sixth of the targets works seven times slower. A task there
-    ends too late and takes the room of many, so a job first waits for a place that
-    is in time, and is never given one where its answer would be useless.
+    ends too late and takes the room of many, so a job first waits for a usual one.
+    Targets are held against each other: when all look slow, since their answers
+    come late, say, none is passed over.
+
+    Parameters
+    ----------
+    usual : float
+        Median slowness of the targets that take runs.
+    waited_s, patience : float
+        How long the job has waited, and how long it does at most, in seconds.
 
     Examples
     --------
-    >>> latest_end(10.0, 1.0, 10.4, 10.0, False)
-    11.4
-    >>> latest_end(10.0, 1.0, 10.4, 10.3, False)
-    13.0
+    >>> slowest_taken(1.2, 0.0, 0.1), slowest_taken(1.2, 0.09, 0.1)
+    (3.0, inf)
     """
-    holds_out = now < arrived + (patient_until - arrived) * EARLY_SHARE
-    factor = EARLY_FACTOR if holds_out and not begun else USELESS_FACTOR
-    return arrived + objective * factor
+    holds_out = waited_s < patience * EARLY_SHARE
+    return usual * FAR_SLOWER if holds_out else math.inf
 
 
 def spread_of(key: str) -> float:
