--- a/hawthorntrack/platform/targets.py
+++ b/hawthorntrack/platform/targets.py
@@ -53,11 +53,14 @@
     ----------
     replies : Mailbox
         Takes the reply to each order.
+    timeout_s : float
+        Time for the answer to an order, beyond what it asks the target to wait.
     """
 
-    def __init__(self, replies: Mailbox) -> None:
+    def __init__(self, replies: Mailbox, timeout_s: float = ORDER_TIMEOUT_S) -> None:
         super().__init__()
         self.replies = replies
+        self.timeout_s = timeout_s
         self.session: aiohttp.ClientSession | None = None
 
     async def run(self) -> None:
@@ -136,7 +139,7 @@
     ) -> tuple[str, int]:
         """Return what came of an order, and the target's clock."""
         try:
-            status, data = await self.post(target, path, body, ORDER_TIMEOUT_S)
+            status, data = await self.post(target, path, body, self.timeout_s)
         except aiohttp.ClientConnectorError:
             return "unreachable", 0
         except ERRORS:
@@ -162,7 +165,7 @@
             body["wait_ms"] = round(order.wait_s * 1000)
         try:
             status, data = await self.post(
-                order.target, "/v1/hold", body, order.wait_s + ORDER_TIMEOUT_S
+                order.target, "/v1/hold", body, order.wait_s + self.timeout_s
             )
             if status == 200:
                 clock_ms, born_ms, running, ended = lists_of(data)
