Keep tests that share fixed ports on one worker

Its module listens on fixed ports, and its tests were handed to several workers since the suite runs side by side. Traced, not rerun: the module is one group now, and the workers' own port ranges end below those ports. Checks are unchanged.

--- a/hawthorntrack/conftest.py
+++ b/hawthorntrack/conftest.py
@@ -15,7 +15,7 @@
 from hawthorntrack.state.values import Incarnation, JobSpec, Place, TargetLoad, TaskSpec
 
 SEED = 20_261_204
-FIRST_PORT = 20_000
+FIRST_PORT = 18_000
 PORTS_PER_WORKER = 2_000  # test files that run side by side do not share any
 
 
--- a/hawthorntrack/transport/tests/test_edges.py
+++ b/hawthorntrack/transport/tests/test_edges.py
@@ -35,6 +35,9 @@
 BUS = "127.0.0.1:31803"
 HTTP = "127.0.0.1:31804"
 
+# All tests here listen on the same ports, so one worker runs them.
+pytestmark = pytest.mark.xdist_group("edges")
+
 
 def run_real(scene):
     """Run a scene on a loop with the real clock, since sockets are real."""
