--- a/hawthorntrack/coordination/dispatcher.py
+++ b/hawthorntrack/coordination/dispatcher.py
@@ -1,6 +1,5 @@
 """The task of an entry instance that takes jobs in steps and answers them."""
 
-import asyncio
 from collections import defaultdict
 from collections.abc import Callable
 from typing import Any
@@ -37,6 +36,7 @@
     REFUSALS,
     labelled,
 )
+from hawthorntrack.state.outcomes import settle
 from hawthorntrack.state.plans import RunName
 from hawthorntrack.state.values import Incarnation
 from hawthorntrack.state.verdicts import (
@@ -130,11 +130,11 @@
             return
         queue = self.index.find(order.host, order.path)
         if queue is None:
-            self.settle(order.reply, NoQueue())
+            settle(order.reply, NoQueue())
             return
         if order.plan is None:
             log_event("job:unreadable", queue=queue.name, problem=order.problem)
-            self.settle(order.reply, BadJob(order.problem))
+            settle(order.reply, BadJob(order.problem))
             return
         known = self.jobs.get(order.plan.key)
         if known is not None:
@@ -186,7 +186,7 @@
             waiting=len(self.jobs),
             as_of=self.directives.stamp,
         )
-        self.settle(order.reply, verdict)
+        settle(order.reply, verdict)
 
     @handles(CallerLeft)
     def caller_left(self, news: CallerLeft, sender: Incarnation) -> None:
@@ -205,38 +205,33 @@
             self.send(address, DropJob(order.key))
         job = self.jobs.get(order.key)
         if job is None:
-            self.settle(order.reply, UnknownJob())
+            settle(order.reply, UnknownJob())
             return
         self.end(job, Abandoned("cancelled"))
-        self.settle(order.reply, JobState("cancelled"))
+        settle(order.reply, JobState("cancelled"))
 
     @handles(LookUpPlan)
     def look_up(self, order: LookUpPlan, sender: Incarnation) -> None:
         """Tell the state of a job that is open here."""
         if self.index.find(order.host, order.path) is None:
-            self.settle(order.reply, NoQueue())
+            settle(order.reply, NoQueue())
             return
         job = self.jobs.get(order.key)
         if job is None:
-            self.settle(order.reply, UnknownJob())
+            settle(order.reply, UnknownJob())
         else:
-            self.settle(order.reply, JobState("running" if job.begun else "queued"))
+            settle(order.reply, JobState("running" if job.begun else "queued"))
 
     @handles(CountWaiting)
     def count_waiting(self, order: CountWaiting, sender: Incarnation) -> None:
         """Tell how many jobs of a queue wait for their first task."""
         queue = self.index.find(order.host, order.path)
         if queue is None:
-            self.settle(order.reply, NoQueue())
+            settle(order.reply, NoQueue())
             return
         jobs = self.jobs.values()
         waiting = sum(not job.begun and job.queue.name == queue.name for job in jobs)
-        self.settle(order.reply, waiting)
-
-    def settle(self, reply: asyncio.Future, verdict: Any) -> None:
-        """Give a verdict to whoever still waits for it."""
-        if not reply.done():
-            reply.set_result(verdict)
+        settle(order.reply, waiting)
 
     def end(self, job: Job, verdict: Verdict) -> None:
         """Answer a job and stop what still runs of it."""
@@ -252,7 +247,7 @@
         for address, runs in stops.items():
             self.send(address, StopRuns(tuple(runs)))
         for reply in job.replies:
-            self.settle(reply, verdict)
+            settle(reply, verdict)
         if isinstance(verdict, Refused):
             labelled(REFUSALS, reason).inc()
         elif isinstance(verdict, Completed):
@@ -279,8 +274,7 @@
         Guards that take runs with the room that they report, the age of the oldest
         of these reports, and the jobs that wait.
         """
-        zones_out = self.directives.zones_out
-        peers = [peer for peer in self.peers.values() if peer.open(now, zones_out)]
+        peers = self.open_peers(now)
         ages = [now - peer.heard_at for peer in peers]
         return {
             "queue": job.queue.name,
@@ -288,7 +282,7 @@
             "guards_open": len(peers),
             "free_cpu_m": sum(max(0, peer.place().free.cpu_m) for peer in peers),
             "oldest_report_ms": round(1000 * max(ages, default=0.0)),
-            "waiting": sum(not other.begun for other in self.jobs.values()),
+            "waiting": self.count_unbegun(),
         }
 
     @handles(DirectivesChanged)
@@ -329,11 +323,14 @@
         self.report_ready()
         self.report_drained()
 
+    def count_unbegun(self) -> int:
+        """Return how many jobs wait for their first task."""
+        return sum(not job.begun for job in self.jobs.values())
+
     def overloaded(self, job: Job) -> Refused:
         """Return the refusal of a job that found no room in time."""
-        waiting = sum(not other.begun for other in self.jobs.values())
         rate = len(self.answered) / ANSWERS_WINDOW_S
-        after_s = retry_after_s(waiting, rate, spread_of(job.plan.key))
+        after_s = retry_after_s(self.count_unbegun(), rate, spread_of(job.plan.key))
         return Refused("overloaded", after_s, overloaded=True)
 
     def report_ready(self) -> None:
--- a/hawthorntrack/coordination/run_placing.py
+++ b/hawthorntrack/coordination/run_placing.py
@@ -1,6 +1,5 @@
 """The part of a dispatcher that places tasks on guards and follows their runs."""
 
-import asyncio
 import math
 from collections import defaultdict
 from collections.abc import Callable
@@ -9,7 +8,7 @@
 
 from hawthorntrack.coordination.packing import choose_place
 from hawthorntrack.coordination.peers import ABSENT, GuardPeer
-from hawthorntrack.coordination.progress import PLACED, WAITING, Job, Task
+from hawthorntrack.coordination.progress import PAUSED, PLACED, WAITING, Job, Task
 from hawthorntrack.coordination.waiting import (
     FairShares,
     slowest_taken,
@@ -96,18 +95,15 @@
         """Tell whether jobs can be taken."""
         raise NotImplementedError
 
-    def later(self, delay_s: float, message: Any) -> None:
-        """Post a message to this task after a while."""
-        asyncio.get_running_loop().call_later(delay_s, self.mailbox.put, message)
+    def open_peers(self, now: float) -> list[GuardPeer]:
+        """Return the guards to which new runs may be sent."""
+        zones_out = self.directives.zones_out
+        return [peer for peer in self.peers.values() if peer.open(now, zones_out)]
 
     def place_waiting(self) -> None:
         """Place waiting tasks, fair among queues, oldest first within each."""
         now = self.clock()
-        places = {
-            address: peer.place()
-            for address, peer in self.peers.items()
-            if peer.open(now, self.directives.zones_out)
-        }
+        places = {peer.address: peer.place() for peer in self.open_peers(now)}
         if not places:
             return
         queues: dict[str, list[Job]] = defaultdict(list)
@@ -191,7 +187,7 @@
         if job.suspended:
             self.end(job, Abandoned("stood_still"))
             return
-        task.phase = "paused" if wait_s else WAITING
+        task.phase = PAUSED if wait_s else WAITING
         if wait_s:
             self.later(wait_s, Retake(task.name))
         self.placing_due = True
@@ -201,7 +197,7 @@
         """Let a paused task wait for a place again."""
         job = self.jobs.get(order.task.job)
         task = job.tasks.get(order.task) if job else None
-        if task is not None and task.phase == "paused":
+        if task is not None and task.phase == PAUSED:
             task.phase = WAITING
             self.placing_due = True
 
--- a/hawthorntrack/coordination/target_lists.py
+++ b/hawthorntrack/coordination/target_lists.py
@@ -1,6 +1,5 @@
 """The part of a lease holder that renews leases and reads lists of runs."""
 
-import asyncio
 from typing import Any
 
 from hawthorntrack.coordination import health as health_rules
@@ -66,10 +65,6 @@
         """Have the room reported soon."""
         raise NotImplementedError
 
-    def later(self, delay_s: float, message: Any) -> None:
-        """Post a message to this task after a while."""
-        asyncio.get_running_loop().call_later(delay_s, self.mailbox.put, message)
-
     def session_of(self, reply: StartReply | StopReply | HoldReply) -> Any:
         """Return the session that an order was meant for, if it goes on."""
         session = self.sessions.get(reply.order.target.life.id)
--- a/hawthorntrack/daemon/noded.py
+++ b/hawthorntrack/daemon/noded.py
@@ -8,6 +8,7 @@
 
 from hawthorntrack.daemon.logs import begin_pipe_log
 from hawthorntrack.daemon.node import run_entry_node, run_guard_node
+from hawthorntrack.platform.formats import SETTINGS_VARIABLE
 from hawthorntrack.state.checking import InvalidInput
 from hawthorntrack.state.node import load_node_settings
 from hawthorntrack.state.registry import Registry
@@ -24,7 +25,7 @@
 @click.option(
     "--settings",
     "path",
-    envvar="HAWTHORNTRACK_BOOT",
+    envvar=SETTINGS_VARIABLE,
     required=True,
     type=click.Path(),
     help="YAML settings of this process; docs/OPERATIONS.md lists the keys.",
--- a/hawthorntrack/platform/formats.py
+++ b/hawthorntrack/platform/formats.py
@@ -21,6 +21,7 @@
 from hawthorntrack.state.resources import Resources
 from hawthorntrack.state.store import Changes
 
+SETTINGS_VARIABLE = "HAWTHORNTRACK_BOOT"  # holds the path of the settings file
 CONFIG_KEY = "config"
 ZONE_OUT_PREFIX = "evacuate/"
 STATES = {"ready", "draining"}
--- a/hawthorntrack/state/actor.py
+++ b/hawthorntrack/state/actor.py
@@ -73,6 +73,10 @@
         """Return the loop's time in seconds."""
         return asyncio.get_running_loop().time()
 
+    def later(self, delay_s: float, message: Any) -> None:
+        """Post a message to this task after a while."""
+        asyncio.get_running_loop().call_later(delay_s, self.mailbox.put, message)
+
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Run `work` beside the task; its failure ends the task."""
         task = asyncio.get_running_loop().create_task(work)
--- a/hawthorntrack/transport/tests/test_edges.py
+++ b/hawthorntrack/transport/tests/test_edges.py
@@ -1,6 +1,7 @@
 """Sockets on loopback: bad input, slow clients, and outcomes that stay uncertain."""
 
 import asyncio
+import os
 
 import aiohttp
 import pytest
@@ -30,13 +31,8 @@
 from hawthorntrack.transport.target_client import TargetClient
 from hawthorntrack.transport.web import Readiness, WebServer
 
-TABLE = "127.0.0.1:31801"
-TARGET = "127.0.0.1:31802"
-BUS = "127.0.0.1:31803"
-HTTP = "127.0.0.1:31804"
-
-# All tests here listen on the same ports, so one worker runs them.
-pytestmark = pytest.mark.xdist_group("edges")
+WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+TABLE, TARGET, BUS, HTTP = (f"127.0.0.1:{31_801 + 10 * WORKER + n}" for n in range(4))
 
 
 def run_real(scene):
