--- a/hawthorntrack/experiment/replay.py
+++ b/hawthorntrack/experiment/replay.py
@@ -342,10 +342,17 @@
     replay.fleet.signal(process, signal.SIGTERM)
     code = await replay.fleet.stopped(process)
     replay.notes.setdefault("restart_codes", {})[process] = code
-    replay.fleet.spawn_daemon(process)
+    await start(replay, process)
 
 
 @acts.register("start")
 async def start(replay: Replay, process: str) -> None:
-    """Start a daemon that was killed."""
+    """Start a daemon that was killed, and wait until it is ready.
+
+    Explanation
+    -----------
+    A process that is still importing has no handler yet: a SIGTERM ends it by the
+    signal, not by a drain.
+    """
     replay.fleet.spawn_daemon(process)
+    await replay.fleet.reach(process, "/readyz")
--- a/hawthorntrack/experiment/tests/test_processes.py
+++ b/hawthorntrack/experiment/tests/test_processes.py
@@ -67,3 +67,24 @@
 
     clean = {name: [] for name in PEACEFUL[deployment]}
     assert asyncio.run(replay_all()) == (clean, {0})
+
+
+def test_restart_ends_once_the_process_is_ready(base_port, tmp_path):
+    path = tmp_path / "restart_last.jsonl"
+    path.write_text(
+        '{"trace": "restart_last", "deployment": "liegewerk", "about": "A restart."}\n'
+        '{"at_ms": 0, "do": "restart", "process": "guard10"}\n'
+    )
+    replay = Replay(read_trace(path), base_port)
+
+    async def restart_and_look():
+        try:
+            await replay.fleet.start()
+            await replay.play()
+            return await replay.fleet.status("guard10")
+        finally:
+            await replay.fleet.close()
+
+    page = asyncio.run(restart_and_look())
+    assert page["control"]["incarnation"]
+    assert replay.notes["restart_codes"] == {"guard10": 0}
