Report each change of room only where jobs wait for it

Every start and end at a guard sent its room to all entry instances within 4 ms, and each answered with a vouch: at 71 guards and 13 entry instances some 90,000 messages a second by arithmetic (27 starts a second a guard, both ways), nearly all of which nobody waits for.

An entry instance now says in its vouch whether jobs wait there, and for half a second on; guards report changes at once to those only, a change of standing to all, and the rest learns by the pulse every 0.2 s and by the room in each reply. Pulses that come in quick succession are vouched for once.

Ruled out: slower news for all (jobs that wait would be placed late).

Shown: four tests that fail without it (test_dispatcher, test_leaseholder).

--- a/hawthorntrack/coordination/leaseholder.py
+++ b/hawthorntrack/coordination/leaseholder.py
@@ -75,6 +75,8 @@
         self.drained = drained
         self.entries: dict[str, str] = {}
         self.trusted_until: dict[str, float] = {}
+        self.wanting_news: set[str] = set()
+        self.told_standing = ""
         self.settled: dict[TaskName, tuple[float, Ending]] = {}
         self.zones_out: frozenset[str] = frozenset()
         self.zones_as_of = 0
@@ -118,19 +120,28 @@
         )
 
     def room_changed(self) -> None:
-        """Have the room reported soon to all entry instances."""
-        if not self.news_due:
+        """Have the room reported soon where that matters."""
+        if not self.news_due and (self.wanting_news or self.standing_changed()):
             self.news_due = True
             self.later(ROOM_NEWS_S, RoomNews())
 
+    def standing_changed(self) -> bool:
+        """Return whether entry instances have not been told how the target stands."""
+        return self.standing(self.current(), self.clock()) != self.told_standing
+
     @handles(RoomNews)
     def report_room(self, news: RoomNews, sender: Incarnation) -> None:
-        """Send a pulse to all entry instances."""
+        """Send a pulse where jobs wait; to all if the target's standing changed."""
         self.news_due = False
-        now = self.clock()
-        self.next_pulse = now + PULSE_S
-        pulse = Pulse(int(now * 1000), self.room())
-        for address in self.entries:
+        self.pulse(self.entries if self.standing_changed() else self.wanting_news)
+
+    def pulse(self, addresses: Iterable[str]) -> None:
+        """Send a pulse to entry instances."""
+        room = self.room()
+        if addresses is self.entries:
+            self.told_standing = room.standing
+        pulse = Pulse(int(self.clock() * 1000), room)
+        for address in addresses:
             self.send(address, pulse)
 
     @handles(Hello)
@@ -153,6 +164,7 @@
     @handles(LinkDown)
     def lose_entry(self, news: LinkDown, sender: Incarnation) -> None:
         """Stop an entry instance's runs soon, unless its link comes back."""
+        self.wanting_news.discard(news.address)
         if news.address in self.trusted_until:
             limit = self.clock() + leases.RELINK_S
             until = min(self.trusted_until[news.address], limit)
@@ -167,6 +179,10 @@
             # The owner may have given these runs up already.
             self.stop_runs_of(sender.address, "owner_silent")
         self.trusted_until[sender.address] = max(known, until)
+        if vouch.wants_news:
+            self.wanting_news.add(sender.address)
+        else:
+            self.wanting_news.discard(sender.address)
         if vouch.as_of > self.zones_as_of:
             self.zones_as_of = vouch.as_of
             self.zones_out = frozenset(vouch.zones_out)
@@ -337,7 +353,8 @@
             if at + SETTLED_KEPT_S > now
         }
         if now >= self.next_pulse:
-            self.report_room(RoomNews(), sender)
+            self.next_pulse = now + PULSE_S
+            self.pulse(self.entries)
 
     @handles(Drain)
     def drain(self, order: Drain, sender: Incarnation) -> None:
--- a/hawthorntrack/coordination/peers.py
+++ b/hawthorntrack/coordination/peers.py
@@ -24,6 +24,10 @@
         What should run there.
     stamp_ms : int
         The guard's clock in its newest pulse.
+    vouched_at : float
+        When the guard was last told that its runs are still wanted.
+    vouched_as_of : int
+        The stamp of the directives that it was told then.
     heard_at, pulse_at : float
         When any message, and the newest pulse, arrived; in seconds, suspended time
         included.
@@ -39,6 +43,8 @@
         self.heard_at = 0.0
         self.pulse_at = 0.0
         self.stamp_ms = 0
+        self.vouched_at = 0.0
+        self.vouched_as_of = -1
 
     def take_room(self, room: TargetRoom) -> None:
         """Take a report of room in, unless a newer one is known."""
--- a/hawthorntrack/coordination/run_placing.py
+++ b/hawthorntrack/coordination/run_placing.py
@@ -49,6 +49,8 @@
     Verdict,
 )
 
+VOUCH_S = 0.15  # below the interval of pulses, so that each of those is answered
+NEWS_LINGER_S = 0.5  # two pulses and a half: jobs wait in waves
 RETAKE_S = 0.06  # for a guard to stop the run of an earlier submission
 JUDGED_ENDS = {"failed"}
 
@@ -92,6 +94,8 @@
         self.shares = FairShares()
         self.order = waiting_orders[USUAL_ORDER]
         self.usual_chain_s: dict[str, float] = {}
+        self.wants_news = False
+        self.news_wanted_until = 0.0
         self.placing_due = False
 
     def end(self, job: Job, verdict: Verdict) -> None:
@@ -109,14 +113,17 @@
 
     def place_waiting(self) -> None:
         """Place waiting tasks in the order in force."""
-        now = self.clock()
-        places = {peer.address: peer.place() for peer in self.open_peers(now)}
-        if not places:
-            return
         queues: dict[str, list[Job]] = defaultdict(list)
         for job in self.jobs.values():
             if not job.suspended and job.waiting():
                 queues[job.queue.name if self.order.shared else ""].append(job)
+        now = self.clock()
+        places = {}
+        if queues:
+            places = {peer.address: peer.place() for peer in self.open_peers(now)}
+        if not places:
+            self.ask_for_news(bool(queues))
+            return
         self.shares.settle(queues)
         for jobs in queues.values():
             jobs.sort(key=lambda job: self.order.key(self.waiting_job(job)))
@@ -137,6 +144,9 @@
             stamp_ms = self.peers[address].stamp_ms
             order = StartRuns(stamp_ms, job.plan.payload, left_ms, tuple(orders))
             self.send(address, order)
+        self.ask_for_news(
+            any(job.waiting() for jobs in queues.values() for job in jobs)
+        )
 
     def waiting_job(self, job: Job) -> WaitingJob:
         """Return what decides on a job's turn."""
@@ -265,14 +275,40 @@
             return
         peer.pulse_at, peer.stamp_ms = peer.heard_at, pulse.stamp_ms
         peer.take_room(pulse.room)
-        zones_out = tuple(sorted(self.directives.zones_out))
-        vouch = Vouch(pulse.stamp_ms, self.directives.stamp, zones_out)
-        self.send(sender.address, vouch)
+        told_all = peer.vouched_as_of == self.directives.stamp
+        if not told_all or peer.heard_at - peer.vouched_at >= VOUCH_S:
+            self.vouch(peer)
         if peer.room.standing == "ready":
             self.forget_earlier_life(peer)
         self.report_ready()
         self.placing_due = True
 
+    def vouch(self, peer: GuardPeer) -> None:
+        """Tell a guard that its runs are still wanted, and whether news of room is."""
+        zones_out = tuple(sorted(self.directives.zones_out))
+        vouch = Vouch(peer.stamp_ms, self.directives.stamp, zones_out, self.wants_news)
+        peer.vouched_at, peer.vouched_as_of = self.clock(), vouch.as_of
+        self.send(peer.address, vouch)
+
+    def ask_for_news(self, waiting: bool) -> None:
+        """Have guards report each change of room while jobs wait, and a little on.
+
+        Explanation
+        -----------
+        Load pattern: a calm day. Reports of every change to every entry instance
+        are most of all messages there, and nobody waits for them.
+        """
+        now = self.clock()
+        if waiting:
+            self.news_wanted_until = now + NEWS_LINGER_S
+        wanted = now < self.news_wanted_until
+        if wanted == self.wants_news:
+            return
+        self.wants_news = wanted
+        for peer in self.peers.values():
+            if peer.linked and peer.stamp_ms:
+                self.vouch(peer)
+
     def forget_earlier_life(self, peer: GuardPeer) -> None:
         """Place again what an earlier life of a guard had; its target has none."""
         lost = [
--- a/hawthorntrack/coordination/tests/test_dispatcher.py
+++ b/hawthorntrack/coordination/tests/test_dispatcher.py
@@ -546,3 +546,31 @@
     entry.tell(Drain())
     entry.tell(DrainOver())
     assert reply.result() == Abandoned("stopping")
+
+
+def test_guards_are_asked_for_news_only_while_jobs_wait(entry):
+    """Load pattern: a calm day at many entry instances."""
+    entry.direct()
+    entry.link(ONE, free=NEED)
+    assert [v.wants_news for _, v in entry.messages(Vouch)] == [False]
+    entry.submit()  # two tasks, room for one
+    assert [v.wants_news for _, v in entry.messages(Vouch)] == [True]
+    assert len(entry.starts()) == 1
+    entry.pulse(ONE, free=ROOM)
+    assert len(entry.starts()) == 1
+    entry.messages(Vouch)
+    entry.wait(0.6)
+    entry.pulse(ONE)
+    assert entry.messages(Vouch)[-1][1].wants_news is False
+
+
+def test_pulses_in_quick_succession_are_answered_once(entry):
+    entry.direct()
+    entry.link(ONE)
+    entry.messages(Vouch)
+    for _ in range(5):
+        entry.pulse(ONE)
+    assert entry.messages(Vouch) == []
+    entry.time += 0.2
+    entry.pulse(ONE)
+    assert len(entry.messages(Vouch)) == 1
--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -9,6 +9,7 @@
     CheckRuns,
     DropJob,
     Hello,
+    Pulse,
     RunOrder,
     RunsEnded,
     RunsRefused,
@@ -18,6 +19,7 @@
     Vouch,
 )
 from hawthorntrack.protocol.links import LinkDown
+from hawthorntrack.protocol.local import Drain
 from hawthorntrack.protocol.orders import (
     Announced,
     Departed,
@@ -42,6 +44,7 @@
 from hawthorntrack.state.values import Incarnation
 
 ENTRY = Incarnation("entry:1", "e1")
+OTHER = Incarnation("entry:2", "e2")
 NEED = Resources(1_600, 64)
 LIFE = TargetLife("t1", 100)
 
@@ -432,3 +435,32 @@
     guard.tell(Tick())
     guard.answer_holds()
     assert guard.holder.room().standing == "ready"
+
+
+def test_room_is_reported_at_once_only_where_jobs_wait(guard):
+    """Load pattern: a calm day at many entry instances."""
+    posted = []
+    guard.holder.later = lambda delay_s, message: posted.append(message)
+    guard.tell(Hello("entry", "olinda", "entry-2"), OTHER)
+    guard.wait(0.25)
+    guard.holder.news_due = False
+    guard.order_runs()
+    assert posted == []
+    guard.tell(Vouch(round(guard.time * 1000), 1, (), True), OTHER)
+    guard.order_runs(job="b" * 16)
+    guard.sent.clear()
+    guard.tell(posted.pop())
+    assert [to for to, body in guard.sent if type(body) is Pulse] == [OTHER.address]
+
+
+def test_change_of_standing_is_reported_to_all(guard):
+    posted = []
+    guard.holder.later = lambda delay_s, message: posted.append(message)
+    guard.tell(Hello("entry", "olinda", "entry-2"), OTHER)
+    guard.wait(0.25)
+    guard.holder.news_due = False
+    guard.sent.clear()
+    guard.tell(Drain())
+    guard.tell(posted.pop())
+    told = {to for to, body in guard.sent if type(body) is Pulse}
+    assert told == {ENTRY.address, OTHER.address}
--- a/hawthorntrack/protocol/dispatch.py
+++ b/hawthorntrack/protocol/dispatch.py
@@ -71,11 +71,14 @@
         Store version that `zones_out` holds for.
     zones_out : tuple of str
         Zones in which no task may start.
+    wants_news : bool
+        Whether jobs wait for room there: each change of room is reported at once.
     """
 
     stamp_ms: int
     as_of: int
     zones_out: tuple[str, ...]
+    wants_news: bool = False
 
 
 class RunOrder(NamedTuple):
