Soak real processes beside a stand-in of the platform

Processes are killed, restarted, frozen and hung up by signals, in series that overlap; callers stay on their connections until the process is gone.

It checks, from what callers and targets see: one run of a task at a time, no start of a refused job, no refusal of a started one, complete only with every task done, an answer by the deadline, configuration and zones in force in time, no process that ends by itself or with a code, and service after the faults.

A process may now be reached at another address than it listens on (listen.advertised): a forwarding in front of it needs that, and so do the lines.

--- a/hawthorntrack/daemon/node.py
+++ b/hawthorntrack/daemon/node.py
@@ -55,10 +55,12 @@
     def __init__(self, settings: NodeSettings, path: str, role: str) -> None:
         self.settings = settings
         self.path = path
-        self.me = Incarnation(settings.peers, secrets.token_hex(6))
-        self.member = Member(settings.peers, role, settings.zone, settings.node)
+        self.me = Incarnation(settings.advertised, secrets.token_hex(6))
+        self.member = Member(self.me.address, role, settings.zone, settings.node)
         hello = Hello(role, settings.zone, settings.node)
-        self.bus = StreamBus(self.me, hello, codecs["msgpack"], self.deliver)
+        self.bus = StreamBus(
+            self.me, settings.peers, hello, codecs["msgpack"], self.deliver
+        )
         self.store = PlatformStore(settings.store)
         self.drained = Mailbox("drained")
         self.routes: dict[type, tuple[Mailbox, ...]] = {}
--- a/hawthorntrack/experiment/main.py
+++ b/hawthorntrack/experiment/main.py
@@ -8,6 +8,7 @@
 import looptime
 import msgspec
 
+from hawthorntrack.coordination.ordering import waiting_orders
 from hawthorntrack.coordination.placement import policies
 from hawthorntrack.experiment.bench import run_bench
 from hawthorntrack.experiment.capacity import capacity_lines, slope_lines
@@ -16,9 +17,11 @@
 from hawthorntrack.experiment.layout import deployments
 from hawthorntrack.experiment.model_faults import troubles
 from hawthorntrack.experiment.model_site import SMALL_SITE, ModelSite, Tally
+from hawthorntrack.experiment.orders import compare_orders
 from hawthorntrack.experiment.replay import Replay
 from hawthorntrack.experiment.scenarios import scenarios
 from hawthorntrack.experiment.slopes import measure_all
+from hawthorntrack.experiment.soak import CALLERS, Soak
 from hawthorntrack.experiment.summary import summary_lines
 from hawthorntrack.experiment.trace import read_trace
 from hawthorntrack.standins.serving import until_stopped
@@ -154,5 +157,66 @@
     sys.exit(1 if model.violations else 0)
 
 
+@main.command()
+@click.option("--seed", "first", default=1, show_default=True)
+@click.option("--seeds", default=1, show_default=True, help="How many, one by one.")
+@click.option("--seconds", default=12.0, show_default=True, help="Length of faults.")
+@click.option("--entries", default=3, show_default=True)
+@click.option("--guards", default=8, show_default=True)
+@click.option("--callers", default=CALLERS, show_default=True)
+@click.option("--block", default=0, show_default=True, help="Of loopback addresses.")
+def soak(
+    first: int,
+    seeds: int,
+    seconds: float,
+    entries: int,
+    guards: int,
+    callers: int,
+    block: int,
+) -> None:
+    """Play real processes through random faults; exit 1 if a promise is broken."""
+    broken = []
+    for seed in range(first, first + seeds):
+        played = Soak(seed, seconds, entries, guards, block, callers)
+        report = asyncio.run(played.run())
+        click.echo(f"seed {seed}: {len(report.faults)} faults, {report.answers}")
+        for violation in report.violations:
+            click.echo(f"  WRONG: {violation}")
+        if report.violations:
+            broken.append(seed)
+            click.echo(f"  faults: {'; '.join(report.faults)}")
+            click.echo(f"  logs are in {report.folder}")
+    click.echo(f"{seeds} seeds, broken: {broken or 'none'}")
+    sys.exit(1 if broken else 0)
+
+
+@main.command()
+@click.option("--load", default=1.5, show_default=True, help="Factor on arrivals.")
+@click.option("--seconds", default=10.0, show_default=True, help="Simulated time.")
+@click.option("--seed", default=1, show_default=True)
+@click.option(
+    "--order",
+    "names",
+    multiple=True,
+    type=click.Choice(waiting_orders.names()),
+    help="All if none is given.",
+)
+def orders(load: float, seconds: float, seed: int, names: tuple[str, ...]) -> None:
+    """Compare the orders in which waiting jobs get room, in simulated time."""
+    chosen = names or waiting_orders.names()
+    results = compare_orders(chosen, load, seconds, seed)
+    queues = list(results[0].by_queue)
+    titles = ["credit", *queues, "largest", "worst 2 s"]
+    click.echo(f"{'order':18} {' '.join(f'{title:>9}' for title in titles)}")
+    for result in results:
+        shares = [
+            result.credit,
+            *result.by_queue.values(),
+            result.largest,
+            result.worst,
+        ]
+        click.echo(f"{result.order:18} {' '.join(f'{x:9.3f}' for x in shares)}")
+
+
 if __name__ == "__main__":
     main()
--- a/hawthorntrack/state/node.py
+++ b/hawthorntrack/state/node.py
@@ -15,6 +15,7 @@
     """Addresses, ``ip:port``; which ones there are depends on the role."""
 
     peers: str
+    advertised: NotRequired[str | None]
     metrics: NotRequired[str | None]
     callers: NotRequired[str | None]
     balancer: NotRequired[str | None]
@@ -40,6 +41,8 @@
     ----------
     peers : str
         Where the process listens for its peers.
+    advertised : str
+        Where peers reach it: another address than `peers` behind a port forwarding.
     metrics : str
         Where it shows its metrics; empty for nowhere.
     callers, balancer : str
@@ -59,6 +62,7 @@
     node: str
     zone: str
     peers: str
+    advertised: str
     metrics: str
     callers: str
     balancer: str
@@ -90,6 +94,7 @@
         node=body["node"],
         zone=body["zone"],
         peers=listen["peers"],
+        advertised=listen.get("advertised") or listen["peers"],
         metrics=listen.get("metrics") or "",
         callers=listen.get("callers") or "",
         balancer=listen.get("balancer") or "",
--- a/hawthorntrack/transport/streams.py
+++ b/hawthorntrack/transport/streams.py
@@ -120,7 +120,9 @@
     Parameters
     ----------
     me : Incarnation
-        This process; its address is the one to listen on.
+        This process, by the address at which peers reach it.
+    listen : str
+        ``ip:port`` to listen on.
     hello : Hello
         What the process says first on each link.
     codec : Codec
@@ -134,12 +136,14 @@
     def __init__(
         self,
         me: Incarnation,
+        listen: str,
         hello: Hello,
         codec: Codec,
         deliver: Callable[[Envelope], None],
     ) -> None:
         super().__init__()
         self.me = me
+        self.listen = listen
         self.hello = hello
         self.codec = codec
         self.deliver = deliver
@@ -259,7 +263,7 @@
 
     async def run(self) -> None:
         """Listen and keep links until cancelled."""
-        host, _, port = self.me.address.rpartition(":")
+        host, _, port = self.listen.rpartition(":")
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(
             self.new_link, host, int(port), backlog=512, reuse_address=True
--- a/hawthorntrack/transport/tests/test_streams.py
+++ b/hawthorntrack/transport/tests/test_streams.py
@@ -20,6 +20,7 @@
         self.news = Mailbox("news")
         self.bus = StreamBus(
             Incarnation(address, nonce),
+            address,
             Hello(role, "recife", role),
             codecs["msgpack"],
             self.got.put,
