Take jobs during a drain that still end in it

A job is now taken while its objective still fits before the rest is answered; after the drain has ended none is.

test_drain_goes_on_with_jobs_and_ends_when_none_is_left keeps its refusal: there the drain has ended.

Shown: test_draining_entry_takes_what_still_ends_in_time fails without it.

--- a/hawthorntrack/coordination/dispatcher.py
+++ b/hawthorntrack/coordination/dispatcher.py
@@ -6,9 +6,10 @@
 
 from hawthorntrack.coordination.packing import suits
 from hawthorntrack.coordination.peers import SILENT_S
-from hawthorntrack.coordination.progress import PLACED, Job
+from hawthorntrack.coordination.progress import PLACED, Job, longest_chain_s
 from hawthorntrack.coordination.run_placing import RunPlacing
 from hawthorntrack.coordination.waiting import (
+    objective_s,
     retry_after_s,
     spread_of,
 )
@@ -78,6 +79,8 @@
         Is told whether jobs can be taken.
     clock : callable
         Returns seconds, suspended time included.
+    drain_s : float
+        Time from a `Drain` until the rest is answered by a `DrainOver`.
     """
 
     def __init__(
@@ -89,6 +92,7 @@
         drained: Mailbox,
         on_ready: Callable[[bool, str], None],
         clock: Clock,
+        drain_s: float,
     ) -> None:
         super().__init__(zone, far_factor, send, clock)
         self.links = links
@@ -98,7 +102,9 @@
         self.answered: list[float] = []
         self.began_at = clock()
         self.handled_at = 0.0
+        self.drain_s = drain_s
         self.drain_began: float | None = None
+        self.drain_ended = False
 
     def handle(self, message: Any) -> None:
         """Handle one message, then place what can be placed."""
@@ -161,7 +167,7 @@
 
     def admit(self, order: SubmitPlan, queue: Queue, now: float) -> Verdict | None:
         """Return why a job is not taken, or None."""
-        if self.drain_began is not None and now > self.drain_began + DRAIN_OPEN_S:
+        if self.drain_began is not None and not self.ends_in_drain(order, queue, now):
             return Refused("draining", 1)
         if order.plan.kept:
             return Refused("kept_jobs_not_offered", 5)
@@ -178,6 +184,18 @@
             return JobFailed("no_target_is_large_enough")
         return None
 
+    def ends_in_drain(self, order: SubmitPlan, queue: Queue, now: float) -> bool:
+        """Return whether a job that comes during the drain can still end in it.
+
+        Explanation
+        -----------
+        Load pattern: restarts in turn at callers that keep their connections. Those
+        send here until the process is gone, and a refusal is all the answer they get.
+        """
+        chain_s = longest_chain_s(order.plan.steps)
+        wanted_s = objective_s(chain_s, queue.stretch, queue.latency_target_s)
+        return not self.drain_ended and now + wanted_s < self.drain_began + self.drain_s
+
     def refuse(self, order: SubmitPlan, verdict: Verdict) -> None:
         """Answer a submission that is not taken."""
         reason = getattr(verdict, "reason", "")
@@ -350,7 +368,7 @@
 
     @handles(Drain)
     def drain(self, order: Drain, sender: Incarnation) -> None:
-        """Take jobs only until the balancer has noticed."""
+        """Send callers elsewhere; take what they send here all the same."""
         self.drain_began = self.clock()
         self.on_ready(False, "draining")
 
@@ -365,4 +383,5 @@
         if self.drain_began is None or self.jobs:
             return
         if self.clock() > self.drain_began + DRAIN_OPEN_S:
+            self.drain_ended = True
             self.drained.put(Drained(type(self).__name__))
--- a/hawthorntrack/coordination/tests/test_dispatcher.py
+++ b/hawthorntrack/coordination/tests/test_dispatcher.py
@@ -57,6 +57,7 @@
 )
 ONE, TWO, THREE = (Incarnation(f"guard-{n}:1", f"g{n}") for n in (1, 2, 3))
 CALLER = Incarnation("caller:1", "")
+DRAIN_S = 5.0
 
 
 class Entry:
@@ -79,6 +80,7 @@
             self.drained,
             self.note_ready,
             lambda: self.time,
+            DRAIN_S,
         )
         self.dispatcher.later = lambda delay_s, body: self.posted.append(body)
 
@@ -574,3 +576,17 @@
     entry.time += 0.2
     entry.pulse(ONE)
     assert len(entry.messages(Vouch)) == 1
+
+
+def test_draining_entry_takes_what_still_ends_in_time(placed):
+    """Load pattern: restarts in turn at callers that keep their connections."""
+    entry, _, _ = placed
+    entry.tell(Drain())
+    for _ in range(8):
+        entry.wait(0.4)
+        entry.pulse(ONE)
+    short = entry.submit(key="b" * 16)
+    long = entry.submit(key="c" * 16, steps=(StepSpec(1, NEED, 1.8),))
+    assert long.result() == Refused("draining", 1)
+    assert not short.done()
+    assert len(entry.starts()) == 2
--- a/hawthorntrack/daemon/node.py
+++ b/hawthorntrack/daemon/node.py
@@ -184,6 +184,7 @@
         node.drained,
         on_ready,
         elapsed_with_suspension,
+        settings.grace_s - STOP_RESERVE_S,
     )
     front = CallersFront(dispatcher.mailbox)
     node.bus.listeners.append(dispatcher.mailbox)
--- a/hawthorntrack/experiment/model_site.py
+++ b/hawthorntrack/experiment/model_site.py
@@ -34,6 +34,7 @@
 LOOK_S = 0.001  # the loop's clock has no finer steps
 ENTRY_TICK_S = 0.02
 GUARD_TICK_S = 0.1
+DRAIN_S = 5.0
 
 
 class Kind(NamedTuple):
@@ -346,6 +347,7 @@
             Mailbox("drained"),
             on_ready,
             self.clock,
+            DRAIN_S,
         )
         dispatcher.order = self.order
         process.begin(dispatcher, ENTRY_TICK_S)
