Remember a guard's target in the store, so that a restart finds it at once

A guard writes its target into a row of its own when the target begins a life or leaves, and reads that row when it starts.

Ruled out: asking entry instances (they die with the guards); a faster heartbeat (the platform's).

Cost: one write a life of a target, one read a start of a guard.

--- a/hawthorntrack/coordination/leaseholder.py
+++ b/hawthorntrack/coordination/leaseholder.py
@@ -54,6 +54,8 @@
         Takes a peer's address and a message.
     calls : Mailbox
         Takes orders to the target.
+    memory : Mailbox
+        Takes `TargetSeen`.
     drained : Mailbox
         Gets `Drained` when nothing runs any more after a `Drain`.
     clock : callable
@@ -66,11 +68,12 @@
         self,
         send: Callable[[str, Any], None],
         calls: Mailbox,
+        memory: Mailbox,
         drained: Mailbox,
         clock: Clock,
         first_token: int,
     ) -> None:
-        super().__init__(calls, clock, first_token)
+        super().__init__(calls, memory, clock, first_token)
         self.send = send
         self.drained = drained
         self.entries: dict[str, str] = {}
--- a/hawthorntrack/coordination/target_orders.py
+++ b/hawthorntrack/coordination/target_orders.py
@@ -20,6 +20,7 @@
     StartReply,
     StopOrder,
     StopReply,
+    TargetSeen,
 )
 from hawthorntrack.state.actor import handles
 from hawthorntrack.state.clock import Clock
@@ -47,12 +48,17 @@
     ----------
     calls, clock
         As for `TargetLists`.
+    memory : Mailbox
+        Takes `TargetSeen`.
     first_token : int
         Fencing token to begin with.
     """
 
-    def __init__(self, calls: Mailbox, clock: Clock, first_token: int) -> None:
+    def __init__(
+        self, calls: Mailbox, memory: Mailbox, clock: Clock, first_token: int
+    ) -> None:
         super().__init__(calls, clock)
+        self.memory = memory
         self.first_token = first_token
         self.numbers: dict[TaskName, int] = {}
 
@@ -83,6 +89,7 @@
         session.heard_at = now
         session.read_clock(state.clock_ms, now)
         if changed:
+            self.memory.put(TargetSeen(state))
             log_event("target:draining", target=state.life.id, runs=len(session.runs))
         if changed or session.failures:
             self.room_changed()
@@ -96,6 +103,7 @@
         session = TargetSession(state, self.first_token, now)
         self.sessions[state.life.id] = session
         self.health = health_rules.Health()
+        self.memory.put(TargetSeen(state))
         self.hold(session)
 
     @handles(Departed)
--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -55,10 +55,12 @@
     def __init__(self) -> None:
         self.time = 1_000.0
         self.calls = Mailbox("calls")
+        self.memory = Mailbox("memory")
         self.sent = []
         self.holder = LeaseHolder(
             lambda address, body: self.sent.append((address, body)),
             self.calls,
+            self.memory,
             Mailbox("drained"),
             lambda: self.time,
             first_token=50,
--- a/hawthorntrack/daemon/node.py
+++ b/hawthorntrack/daemon/node.py
@@ -9,10 +9,13 @@
 from hawthorntrack.coordination.dispatcher import Dispatcher
 from hawthorntrack.coordination.follower import Follower
 from hawthorntrack.coordination.leaseholder import LeaseHolder
+from hawthorntrack.coordination.remembering import TargetMemory
 from hawthorntrack.platform.formats import (
     directives_of,
     member_value,
     members_of,
+    remembered_target,
+    target_value,
 )
 from hawthorntrack.platform.front import CallersFront, ReadyFront
 from hawthorntrack.platform.store import PlatformStore
@@ -203,17 +206,26 @@
     """Run a guard until it is stopped."""
     node = Node(settings, path, "guard")
     calls = TargetCalls(Mailbox("unbound"))
+    memory = TargetMemory(
+        settings.advertised,
+        node.store,
+        target_value,
+        remembered_target,
+        Mailbox("unbound"),
+    )
     holder = LeaseHolder(
         node.send,
         calls.mailbox,
+        memory.mailbox,
         node.drained,
         elapsed_with_suspension,
         int(time.time() * 1000),
     )
-    calls.replies = holder.mailbox
+    calls.replies = memory.holder = holder.mailbox
     node.bus.listeners.append(holder.mailbox)
     follower = node.follow([])
     node.route(holder)
     front = HeartbeatFront(holder.mailbox)
     node.servers.append(HttpServer(settings.target, front.answer))
-    await node.run([node.bus, follower, holder, calls], (holder, GUARD_TICK_S), holder)
+    actors = [node.bus, follower, holder, calls, memory]
+    await node.run(actors, (holder, GUARD_TICK_S), holder)
--- a/hawthorntrack/experiment/model_site.py
+++ b/hawthorntrack/experiment/model_site.py
@@ -361,7 +361,12 @@
         """Start the guard beside a target and link it to all entry instances."""
         process = Process(self.wires, address, zone, "guard")
         holder = LeaseHolder(
-            process.send, target, Mailbox("drained"), self.clock, 1_000
+            process.send,
+            target,
+            Mailbox("memory"),
+            Mailbox("drained"),
+            self.clock,
+            1_000,
         )
         target.replies = holder.mailbox
         process.begin(holder, GUARD_TICK_S)
--- a/hawthorntrack/platform/formats.py
+++ b/hawthorntrack/platform/formats.py
@@ -172,6 +172,22 @@
     )
 
 
+target_state_decoder = msgspec.json.Decoder(TargetState)
+
+
+def target_value(state: TargetState) -> bytes:
+    """Return what a row holds that remembers a target."""
+    return encode_json(state)
+
+
+def remembered_target(value: bytes) -> TargetState | None:
+    """Return the target that a row remembers, None if it cannot be read."""
+    try:
+        return target_state_decoder.decode(value)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+
+
 class HoldFields(msgspec.Struct):
     """A target's lists of runs.
 
--- a/hawthorntrack/platform/standins.py
+++ b/hawthorntrack/platform/standins.py
@@ -179,8 +179,14 @@
 async def get_rows(store: StandInStore, request: web.BaseRequest) -> web.Response:
     """Return a table's rows."""
     rows = store.tables.get(request.query["table"], {}).values()
-    start = request.query.get("from", "")
-    found = [row for row in rows if not row["deleted"] and row["key"] >= start]
+    start, beyond = request.query.get("from", ""), request.query.get("target")
+    found = [
+        row
+        for row in rows
+        if not row["deleted"]
+        and row["key"] >= start
+        and (beyond is None or row["key"] < beyond)
+    ]
     return store.page(sorted(found, key=lambda row: row["key"].encode()))
 
 
--- a/hawthorntrack/platform/store.py
+++ b/hawthorntrack/platform/store.py
@@ -72,6 +72,21 @@
                 return Changes(tuple(rows), version)
             start = page.rows[-1].key + "\0"
 
+    async def read_row(self, table: str, key: str) -> StoreRow | Unavailable | None:
+        """Return one row, None if there is none."""
+        params = {"table": table, "part": "", "from": key, "target": key + "\0"}
+        try:
+            status, body = await self.call(
+                "GET", "/v1/rows-get", CALL_TIMEOUT_S, params=params
+            )
+            if status != 200:
+                return self.unavailable("read_row", status)
+            page, _ = page_of(body)
+        except ERRORS as error:
+            return self.failed("read_row", error)
+        labelled(TABLE_CALLS, "read_row", "ok").inc()
+        return next((row for row in page.rows if row.key == key), None)
+
     async def watch(
         self, table: str, after: int, wait_s: float
     ) -> Changes | HistoryGone | Unavailable:
--- a/hawthorntrack/protocol/orders.py
+++ b/hawthorntrack/protocol/orders.py
@@ -2,7 +2,13 @@
 
 from typing import NamedTuple
 
-from hawthorntrack.state.plans import RunEnd, RunName, RunStatus, TargetLife
+from hawthorntrack.state.plans import (
+    RunEnd,
+    RunName,
+    RunStatus,
+    TargetLife,
+    TargetState,
+)
 
 
 class Address(NamedTuple):
@@ -104,6 +110,12 @@
     state: object
 
 
+class TargetSeen(NamedTuple):
+    """The target beside a guard has begun a life, or leaves."""
+
+    state: TargetState
+
+
 class Departed(NamedTuple):
     """The target says that it has ended."""
 
--- a/hawthorntrack/state/store.py
+++ b/hawthorntrack/state/store.py
@@ -38,6 +38,9 @@
     async def read(self, table: str) -> Changes | Unavailable:
         """Return all rows of a table."""
 
+    async def read_row(self, table: str, key: str) -> StoreRow | Unavailable | None:
+        """Return one row, None if there is none."""
+
     async def watch(
         self, table: str, after: int, wait_s: float
     ) -> Changes | HistoryGone | Unavailable:
