Stop in a target's new life what was ordered in the one before

Traced in the logs of its processes: the target ended a run as crashed and came back under its id within the heartbeat's interval. The guard started the task's next run there, which the new life carried out; then a list with another birth told of the crash, all runs of the old life were reported lost at once, and the entry instance placed the task elsewhere beside the run in the new life.

Runs of a life that is over now go over into the session of the new one as runs to be stopped. They are reported lost once the new life has taken the stop, which also fences a start still on its way, and lists none of them; one that ended well there counts as done. A life that only a list told of takes no runs before its first heartbeat, since it may be of another kind.

Ruled out: the beginnings of runs being counted wrongly (the model finishes all runs of a life before the next begins); the lines (none was harmed so early).

test_runs_of_a_life_that_is_over_are_lost became stricter: it asks for the stop in the new life before the report.

--- a/hawthorntrack/coordination/leaseholder.py
+++ b/hawthorntrack/coordination/leaseholder.py
@@ -98,7 +98,8 @@
         if now - session.heard_at > SILENT_S:
             return "absent"
         unwell = session.failures > 1 or session.retry_at > now
-        if unwell or not session.verified or self.health.ejected_until > now:
+        known = session.announced and session.verified
+        if unwell or not known or self.health.ejected_until > now:
             return "unwell"
         return "ready"
 
--- a/hawthorntrack/coordination/sessions.py
+++ b/hawthorntrack/coordination/sessions.py
@@ -78,6 +78,8 @@
         Number of the last end that was taken in.
     last_sent : float
         When the last order that renews the lease was sent; 0.0 before the first.
+    announced : bool
+        Whether the target has told what this life can take.
     verified : bool
         Whether a list of runs has shown that none of an earlier guard is left.
     """
@@ -96,6 +98,7 @@
         self.failures = 0
         self.lost_answer_at = -math.inf
         self.retry_at = 0.0
+        self.announced = True
         self.verified = False
         self.foreign: set[RunName] = set()
 
--- a/hawthorntrack/coordination/target_lists.py
+++ b/hawthorntrack/coordination/target_lists.py
@@ -23,7 +23,7 @@
 from hawthorntrack.state.events import log_event
 from hawthorntrack.state.mailbox import Mailbox
 from hawthorntrack.state.metrics import RETRIES, STARTS, labelled
-from hawthorntrack.state.plans import RunName
+from hawthorntrack.state.plans import RunName, TargetState
 from hawthorntrack.state.values import Incarnation
 
 HOLD_WAIT_S = 0.2  # several renewals fit into one lease
@@ -61,6 +61,10 @@
         """Report ends to the runs' owners."""
         raise NotImplementedError
 
+    def begin_life(self, state: TargetState, now: float) -> None:
+        """Begin with a new life of a target."""
+        raise NotImplementedError
+
     def room_changed(self) -> None:
         """Have the room reported soon."""
         raise NotImplementedError
@@ -129,8 +133,10 @@
         if reply.order is session.holding:
             session.holding = None
         if reply.outcome == "held" and self.is_other_life(session, reply):
-            self.sessions.pop(session.state.life.id)
-            self.end_session(session, "lost")
+            life = session.state.life._replace(born_ms=reply.born_ms)
+            unheard = session.state._replace(life=life, sequence=-1)
+            self.begin_life(unheard._replace(clock_ms=reply.clock_ms), now)
+            self.sessions[life.id].announced = False
             return
         if reply.outcome == "held":
             self.take_lists(session, reply, now)
--- a/hawthorntrack/coordination/target_orders.py
+++ b/hawthorntrack/coordination/target_orders.py
@@ -80,32 +80,49 @@
         session = self.sessions.get(state.life.id)
         now = self.clock()
         if session is None or state.life.born_ms > session.state.life.born_ms:
+            self.memory.put(TargetSeen(state))
             self.begin_life(state, now)
             return
         if state.life != session.state.life or state.sequence <= session.state.sequence:
             return
         changed = state.draining != session.state.draining
-        session.state = state
+        news = not session.announced
+        session.state, session.announced = state, True
         session.heard_at = now
         session.read_clock(state.clock_ms, now)
-        if changed:
+        if changed or news:
             self.memory.put(TargetSeen(state))
+        if changed:
             log_event("target:draining", target=state.life.id, runs=len(session.runs))
-        if changed or session.failures:
+        if changed or news or session.failures:
             self.room_changed()
 
     def begin_life(self, state: TargetState, now: float) -> None:
-        """Begin with a new life of a target; runs of the life before are gone."""
+        """Begin with a new life of a target."""
         older = self.sessions.pop(state.life.id, None)
-        if older is not None:
-            self.end_session(older, "lost")
         log_event("target:new", target=state.life.id, born_ms=state.life.born_ms)
         session = TargetSession(state, self.first_token, now)
         self.sessions[state.life.id] = session
         self.health = health_rules.Health()
-        self.memory.put(TargetSeen(state))
+        if older is not None:
+            self.stop_in_new_life(older, session)
+            self.room_changed()
         self.hold(session)
 
+    def stop_in_new_life(self, older: TargetSession, session: TargetSession) -> None:
+        """Stop what was ordered in the life before; only then is it certainly lost.
+
+        Explanation
+        -----------
+        A crash shows some time after it. A start that was sent meanwhile has been
+        carried out by the new life, which goes by the same id.
+        """
+        session.last_sent, session.token = older.last_sent, older.token
+        session.runs = older.runs
+        for run in session.runs.values():
+            why, run.phase = run.why or "lost", UNSURE
+            self.stop(session, run, why)
+
     @handles(Departed)
     def take_farewell(self, news: Departed, sender: Incarnation) -> None:
         """Forget a target that has ended."""
--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -207,13 +207,55 @@
     assert guard.messages(RunsEnded) == []
 
 
-def test_runs_of_a_life_that_is_over_are_lost(running):
+@pytest.fixture
+def crashed(running):
+    """Return a guard whose target came back under its id, and the run's name."""
     guard, name = running
+    guard.orders(HoldOrder)
     guard.announce(TargetLife("t1", 200))
+    return guard, name
+
+
+def test_runs_of_a_life_that_is_over_are_lost_once_the_new_life_has_none(crashed):
+    """A start sent between the crash and its discovery runs in the new life."""
+    guard, name = crashed
+    assert guard.messages(RunsEnded) == []
+    (stop,) = guard.orders(StopOrder)
+    assert (stop.target.life, stop.name) == (TargetLife("t1", 200), name)
+    guard.time += 0.01
+    guard.tell(StopReply(stop, "stopped", 10))
+    guard.time += 0.01
+    guard.answer_holds()
+    guard.time += 0.01
+    guard.answer_holds()
     (ended,) = guard.messages(RunsEnded)
     assert [(e.name, e.how) for e in ended.endings] == [(name, "lost")]
 
 
+def test_run_that_ended_in_the_new_life_is_done(crashed):
+    guard, name = crashed
+    guard.time += 0.01
+    guard.answer_holds(ended=[RunEnd(1, name, "done")])
+    (ended,) = guard.messages(RunsEnded)
+    assert [(e.name, e.how) for e in ended.endings] == [(name, "done")]
+
+
+def test_life_that_only_a_list_told_of_takes_no_runs(running):
+    """It may be of another kind, which its first heartbeat tells."""
+    guard, _ = running
+    for order in guard.orders(HoldOrder):
+        guard.tell(HoldReply(order, "held", 10, 200, (), ()))
+    (stop,) = guard.orders(StopOrder)
+    assert stop.target.life == TargetLife("t1", 200)
+    guard.answer_holds()
+    guard.messages(RunsRefused)
+    guard.order_runs(job="b" * 16)
+    assert [r.reason for r in guard.messages(RunsRefused)] == ["unwell"]
+    guard.announce(TargetLife("t1", 200))
+    guard.order_runs(job="c" * 16)
+    assert guard.messages(RunsRefused) == []
+
+
 def test_unreadable_heartbeat_changes_nothing(running):
     guard, _ = running
     guard.tell(Announced("no state"))
