Ask a target that did not answer until it does

Traced in the guards' logs: 'target:no_lists outcome=unanswered runs=0' twice, then nothing until the end. A target that leaves two holds unanswered counts as unwell. Holds are sent while something runs, so once its runs had lapsed or been given up none was sent any more, and heartbeats do not clear the count: the target took no runs for ever. Two starts turned away at an idle target had the same effect.

A hold is now sent at each tick while answers are missing.

Ruled out: a dead stand-in (its heartbeats went on arriving).

Shown: test_target_that_did_not_answer_is_asked_until_it_does fails without it.

--- a/hawthorntrack/coordination/target_lists.py
+++ b/hawthorntrack/coordination/target_lists.py
@@ -82,12 +82,17 @@
         self.room_changed()
 
     def hold(self, session: TargetSession) -> None:
-        """Renew the lease and ask for the lists, unless that is under way."""
+        """Renew the lease and ask for the lists, unless that is under way.
+
+        Explanation
+        -----------
+        A target that did not answer is asked on, also when it runs nothing any more:
+        nothing else shows that it answers again.
+        """
         now = self.clock()
         pending = session.ends_seen > session.ends_acknowledged
-        if session.holding is not None or not (
-            session.runs or pending or not session.verified
-        ):
+        doubted = session.failures or not session.verified
+        if session.holding is not None or not (session.runs or pending or doubted):
             return
         lease_ms = None
         if session.runs and not session.failures and not self.doubtful(session, now):
--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -508,3 +508,19 @@
     guard.tell(posted.pop())
     told = {to for to, body in guard.sent if type(body) is Pulse}
     assert told == {ENTRY.address, OTHER.address}
+
+
+def test_target_that_did_not_answer_is_asked_until_it_does(running):
+    """Its runs have lapsed: nothing else would show that it answers again."""
+    guard, name = running
+    for _ in range(20):
+        guard.answer_holds(outcome="unanswered")
+        guard.wait(0.1)
+    assert [e.how for m in guard.messages(RunsEnded) for e in m.endings] == ["lapsed"]
+    guard.order_runs(job="b" * 16)
+    assert [r.reason for r in guard.messages(RunsRefused)] == ["unwell"]
+    guard.wait(0.1)
+    guard.answer_holds()
+    guard.tell(Vouch(round(guard.time * 1000), 1, ()), ENTRY)
+    guard.order_runs(job="c" * 16)
+    assert guard.messages(RunsRefused) == []
--- a/hawthorntrack/experiment/main.py
+++ b/hawthorntrack/experiment/main.py
@@ -22,6 +22,7 @@
 from hawthorntrack.experiment.scenarios import scenarios
 from hawthorntrack.experiment.slopes import measure_all
 from hawthorntrack.experiment.soak import CALLERS, Soak
+from hawthorntrack.experiment.soak_faults import soak_faults
 from hawthorntrack.experiment.summary import summary_lines
 from hawthorntrack.experiment.trace import read_trace
 from hawthorntrack.standins.serving import until_stopped
@@ -165,6 +166,13 @@
 @click.option("--guards", default=8, show_default=True)
 @click.option("--callers", default=CALLERS, show_default=True)
 @click.option("--block", default=0, show_default=True, help="Of loopback addresses.")
+@click.option(
+    "--fault",
+    "faults",
+    multiple=True,
+    type=click.Choice(soak_faults.names()),
+    help="All if none is given.",
+)
 def soak(
     first: int,
     seeds: int,
@@ -173,11 +181,12 @@
     guards: int,
     callers: int,
     block: int,
+    faults: tuple[str, ...],
 ) -> None:
     """Play real processes through random faults; exit 1 if a promise is broken."""
     broken = []
     for seed in range(first, first + seeds):
-        played = Soak(seed, seconds, entries, guards, block, callers)
+        played = Soak(seed, seconds, entries, guards, block, callers, faults)
         report = asyncio.run(played.run())
         click.echo(f"seed {seed}: {len(report.faults)} faults, {report.answers}")
         for violation in report.violations:
--- a/hawthorntrack/experiment/soak.py
+++ b/hawthorntrack/experiment/soak.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections import Counter, defaultdict
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -10,7 +11,7 @@
 
 from hawthorntrack.experiment.model_site import RESEND_S, SMALL_SITE, Kind
 from hawthorntrack.experiment.model_target import ModelTarget
-from hawthorntrack.experiment.soak_faults import play_series
+from hawthorntrack.experiment.soak_faults import play_series, soak_faults
 from hawthorntrack.experiment.soak_site import HOST, SoakNode, SoakSite
 from hawthorntrack.platform.front import DEADLINE_HEADER
 from hawthorntrack.platform.standins import job_body
@@ -125,6 +126,12 @@
         Of the faults and the load.
     seconds : float
         How long faults are played; a quiet time follows.
+    entries, guards, block
+        As for `SoakSite`.
+    callers : int
+        How many hand jobs in.
+    faults : sequence of str
+        What is played; all if empty.
     """
 
     def __init__(
@@ -135,8 +142,10 @@
         guards: int = 8,
         block: int = 0,
         callers: int = CALLERS,
+        faults: Sequence[str] = (),
     ) -> None:
         self.seed = seed
+        self.faults = faults or soak_faults.names()
         self.seconds = seconds
         self.callers = callers
         self.rng = random.Random(seed)
@@ -157,7 +166,7 @@
             calls = [asyncio.create_task(self.caller(n)) for n in range(self.callers)]
             self.site.run_beside(self.watch_ends())
             until = self.site.now() + self.seconds
-            faults = await play_series(self.site, self.rng, until)
+            faults = await play_series(self.site, self.rng, until, self.faults)
             await self.recover()
             self.calling = False
             for call in await asyncio.gather(*calls, return_exceptions=True):
--- a/hawthorntrack/experiment/soak_faults.py
+++ b/hawthorntrack/experiment/soak_faults.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import signal
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 from contextlib import contextmanager
 
 from hawthorntrack.experiment.relays import Line
@@ -232,11 +232,13 @@
         await asyncio.sleep(rng.uniform(*GAP_S))
 
 
-async def play_series(site: SoakSite, rng: random.Random, until: float) -> list[str]:
-    """Play series of faults until a time; return what was played."""
+async def play_series(
+    site: SoakSite, rng: random.Random, until: float, names: Sequence[str]
+) -> list[str]:
+    """Play series of the faults named until a time; return what was played."""
     played: list[str] = []
     while site.now() < until:
-        name = rng.choice(soak_faults.names())
+        name = rng.choice(names)
         series = rng.randint(1, SERIES_MOST)
         for _ in range(series):
             if site.now() >= until:
--- a/hawthorntrack/experiment/tests/test_soak.py
+++ b/hawthorntrack/experiment/tests/test_soak.py
@@ -15,8 +15,14 @@
 
 JOB = "5c0e7a21d94b36f8"
 RUN = RunName(TaskName(JOB, 0, 0, 0), 1)
-# Seeds of the short run, and every seed that ever failed, with its cause.
-SEEDS = (1,)
+# Seeds and faults of the short run, and every case that ever failed, with its cause.
+CASES = (
+    (1, ()),
+    # A start sent before a crash showed ran on in the new life.
+    (24, ("targets_crash",)),
+    # Targets that had lost two answers were never asked again.
+    (25, ("targets_crash",)),
+)
 
 
 @pytest.fixture
@@ -95,11 +101,11 @@
 
 
 @pytest.mark.timeout(120)
-@pytest.mark.xdist_group("processes")
-@pytest.mark.parametrize("seed", SEEDS)
-def test_promises_are_kept_through_a_short_soak(base_port, seed):
+@pytest.mark.xdist_group("soak")
+@pytest.mark.parametrize(("seed", "faults"), CASES)
+def test_promises_are_kept_through_a_short_soak(base_port, seed, faults):
     block = (base_port // 1_000) % 40
-    report = asyncio.run(Soak(seed, seconds=6.0, block=block).run())
+    report = asyncio.run(Soak(seed, 6.0, block=block, callers=48, faults=faults).run())
     assert report.violations == []
     assert report.answers.get("completed", 0) > 0
     assert Path(report.folder).exists()
