--- a/hawthorntrack/experiment/main.py
+++ b/hawthorntrack/experiment/main.py
@@ -188,9 +188,8 @@
     for seed in range(first, first + seeds):
         played = Soak(seed, seconds, entries, guards, block, callers, faults)
         report = asyncio.run(played.run())
-        click.echo(
-            f"seed {seed}: {len(report.faults)} faults, {report.answers}, {report.stalls} stalls"
-        )
+        found = f"{len(report.faults)} faults, {report.answers}, {report.stalls} stalls"
+        click.echo(f"seed {seed}: {found}")
         for violation in report.violations:
             click.echo(f"  WRONG: {violation}")
         if report.violations:
