Fence a start that got no answer before its run is given back

Cause: a start without an answer is sent again under its number, up to twice. When a repeat was turned away (no room, or an unwell target), the run was given back as certainly not begun; the first order was then carried out late.

Such a run is now stopped, which fences the order on its way, and reported when a list after the stop shows it gone, like a start that never got an answer.

Ruled out: the order of lists and starts (a list sent before a start began never ends a run).

Shown: test_start_refused_after_one_without_an_answer_is_fenced_first, four cases, all of which fail without it.

--- a/hawthorntrack/coordination/target_orders.py
+++ b/hawthorntrack/coordination/target_orders.py
@@ -213,7 +213,16 @@
             self.abandon_start(session, run, "unwell")
 
     def abandon_start(self, session: TargetSession, run: Run, reason: str) -> None:
-        """Give back a run that certainly was not begun."""
+        """Give back a run that was not begun.
+
+        Explanation
+        -----------
+        Only the last order of the run has been turned away. One before it that got
+        no answer may still be carried out, so it is fenced by a stop first.
+        """
+        if run.repeats:
+            self.stop(session, run, "start_unanswered")
+            return
         del session.runs[run.name.task]
         self.refuse(run.owner, [run.order.name], reason)
         self.room_changed()
--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -524,3 +524,22 @@
     guard.tell(Vouch(round(guard.time * 1000), 1, ()), ENTRY)
     guard.order_runs(job="c" * 16)
     assert guard.messages(RunsRefused) == []
+
+
+@pytest.mark.parametrize("outcome", ["no_room", "unwell", "unreachable", "invalid"])
+def test_start_refused_after_one_without_an_answer_is_fenced_first(guard, outcome):
+    """The one without an answer may be carried out late."""
+    (name,) = guard.order_runs()
+    guard.answer_starts("unanswered")
+    guard.answer_starts(outcome)
+    assert guard.messages(RunsRefused) == []
+    (stop,) = guard.orders(StopOrder)
+    assert stop.name == name
+    guard.time += 0.01
+    guard.tell(StopReply(stop, "stopped", 5_000))
+    guard.time += 0.01
+    guard.answer_holds()
+    guard.time += 0.01
+    guard.answer_holds()
+    (ended,) = guard.messages(RunsEnded)
+    assert [(e.name, e.how) for e in ended.endings] == [(name, "start_unanswered")]
