--- a/hawthorntrack/experiment/soak_faults.py
+++ b/hawthorntrack/experiment/soak_faults.py
@@ -40,7 +40,9 @@
             node.end_disturbance()
 
 
-async def end_and_start(site: SoakSite, node: SoakNode, number: int, back: float):
+async def end_and_start(
+    site: SoakSite, node: SoakNode, number: int, back_s: float
+) -> None:
     """Send a signal that ends a process, and start it again afterwards."""
     with disturbed(node):
         if node.asked_to_end:
@@ -49,7 +51,7 @@
         async with asyncio.timeout(END_LIMIT_S):
             while node.alive:
                 await asyncio.sleep(0.02)
-        await asyncio.sleep(back)
+        await asyncio.sleep(back_s)
         site.spawn(node)
 
 
@@ -72,9 +74,9 @@
     """Kill half of the processes, or all, at the same moment."""
     nodes = list(site.nodes.values())
     chosen = rng.sample(nodes, rng.choice((len(nodes) // 2, len(nodes))))
-    back = rng.uniform(*BACK_S)
+    back_s = rng.uniform(*BACK_S)
     await asyncio.gather(
-        *(end_and_start(site, node, signal.SIGKILL, back) for node in chosen)
+        *(end_and_start(site, node, signal.SIGKILL, back_s) for node in chosen)
     )
 
 
--- a/hawthorntrack/experiment/soak_site.py
+++ b/hawthorntrack/experiment/soak_site.py
@@ -31,6 +31,17 @@
 START_LIMIT_S = 30.0
 LOOK_S = 0.05
 BALANCER_S = 1.0  # between the balancer's questions
+PORTS = {
+    "peers": 7700,
+    "callers": 7701,
+    "balancer": 7702,
+    "beats": 7703,
+    "metrics": 7704,
+    "target": 7705,
+    "store": 7706,
+}
+FIRST_NETWORK = 30  # 127.30.0.0/16 and on: one network for processes, one for lines
+STORE, FIRST_ENTRY, FIRST_GUARD = 0, 1, 101  # numbers that addresses go by
 MISSES = 2  # after which an entry instance gets no new connections
 HOST = "calls.example"
 
@@ -107,10 +118,9 @@
         self.watcher = watcher
         self.folder = Path(tempfile.mkdtemp(prefix="hawthorntrack-soak-"))
         self.store = StandInStore(self.rng)
-        self.store_server = HttpServer(self.address(0, 7706), self.store.answer)
         self.nodes: dict[str, SoakNode] = {}
         self.targets: list[ModelTarget] = []
-        self.servers: list[HttpServer] = [self.store_server]
+        self.servers = [HttpServer(self.address(STORE, "store"), self.store.answer)]
         self.session: aiohttp.ClientSession | None = None
         self.version = 0
         self.store_disturbances = 0
@@ -125,25 +135,25 @@
         for number in range(guards):
             self.add_node(f"guard{number}", "guard", number)
 
-    def address(self, number: int, port: int, proxied: bool = False) -> str:
+    def address(self, number: int, socket: str, proxied: bool = False) -> str:
         """Return a loopback address: each process and line has its own host."""
-        network = 2 * self.block + proxied
-        return f"127.{30 + network}.{number // 250}.{1 + number % 250}:{port}"
+        network = FIRST_NETWORK + 2 * self.block + proxied
+        return f"127.{network}.{number // 250}.{1 + number % 250}:{PORTS[socket]}"
 
     def number(self, name: str) -> int:
         """Return the number that a process's addresses go by."""
-        offset = 1 if name.startswith("entry") else 101
+        offset = FIRST_ENTRY if name.startswith("entry") else FIRST_GUARD
         return offset + int(name.lstrip("abcdefghijklmnopqrstuvwxyz"))
 
     def add_node(self, name: str, role: str, number: int) -> None:
         """Note a process and the lines to and from it."""
         own = self.number(name)
-        ends = {"peers": (own, 7700), "store": (0, 7706)}
+        ends = {"peers": own, "store": STORE}
         if role == "guard":
-            ends["target"] = (own, 7705)
+            ends["target"] = own
         lines = {
-            way: Line(self.address(own, port, proxied=True), self.address(far, port))
-            for way, (far, port) in ends.items()
+            way: Line(self.address(own, way, proxied=True), self.address(far, way))
+            for way, far in ends.items()
         }
         self.nodes[name] = SoakNode(name, role, ZONES[number % len(ZONES)], lines)
 
@@ -160,7 +170,7 @@
             self.watcher.run_ended,
         )
         line = node.lines["target"]
-        face = TargetFace(target, line.listen, self.address(own, 7703))
+        face = TargetFace(target, line.listen, self.address(own, "beats"))
         face.session = self.session
         self.targets.append(target)
         self.servers.append(HttpServer(line.to, face.answer))
@@ -212,15 +222,15 @@
         """Write a process's settings file."""
         own = self.number(node.name)
         listen = {
-            "peers": self.address(own, 7700),
+            "peers": self.address(own, "peers"),
             "advertised": node.lines["peers"].listen,
-            "metrics": self.address(own, 7704),
+            "metrics": self.address(own, "metrics"),
         }
         if node.role == "entry":
             listen["callers"] = self.callers_address(node)
-            listen["balancer"] = self.address(own, 7702)
+            listen["balancer"] = self.address(own, "balancer")
         else:
-            listen["target"] = self.address(own, 7703)
+            listen["target"] = self.address(own, "beats")
         body = {
             "node": node.name,
             "zone": node.zone,
@@ -236,7 +246,7 @@
 
     def callers_address(self, node: SoakNode) -> str:
         """Return where an entry instance takes jobs."""
-        return self.address(self.number(node.name), 7701)
+        return self.address(self.number(node.name), "callers")
 
     def spawn(self, node: SoakNode) -> None:
         """Start a process; its log goes to a file in the folder."""
@@ -304,7 +314,7 @@
 
     async def ask_ready(self, node: SoakNode) -> None:
         """Count the misses of one entry instance."""
-        url = f"http://{self.address(self.number(node.name), 7702)}{READY_PATH}"
+        url = f"http://{self.address(self.number(node.name), 'balancer')}{READY_PATH}"
         try:
             async with self.session.get(url) as response:
                 ready = response.status == 200
