--- a/hawthorntrack/experiment/main.py
+++ b/hawthorntrack/experiment/main.py
@@ -5,7 +5,6 @@
 from pathlib import Path
 
 import click
-import looptime
 import msgspec
 
 from hawthorntrack.coordination.ordering import waiting_orders
@@ -16,7 +15,12 @@
 from hawthorntrack.experiment.launcher import Fleet
 from hawthorntrack.experiment.layout import deployments
 from hawthorntrack.experiment.model_faults import troubles
-from hawthorntrack.experiment.model_site import SMALL_SITE, ModelSite, Tally
+from hawthorntrack.experiment.model_site import (
+    SMALL_SITE,
+    ModelSite,
+    Tally,
+    in_simulated_time,
+)
 from hawthorntrack.experiment.orders import compare_orders
 from hawthorntrack.experiment.replay import Replay
 from hawthorntrack.experiment.scenarios import scenarios
@@ -27,8 +31,6 @@
 from hawthorntrack.experiment.trace import read_trace
 from hawthorntrack.standins.serving import until_stopped
 
-LOOP_START_S = 1_000.0
-
 
 @click.group()
 def main() -> None:
@@ -146,10 +148,8 @@
 def site(load: float, seconds: float, name: str, seed: int) -> None:
     """Play a site of leased targets in simulated time; exit 1 on a doubled run."""
     model = ModelSite(SMALL_SITE, seed)
-    loop = looptime.new_event_loop(start=LOOP_START_S)
     play = model.play(seconds, troubles[name], factor=lambda at: load)
-    tallies = loop.run_until_complete(play)
-    loop.close()
+    tallies = in_simulated_time(play)
     click.echo(f"{'queue':10} {' '.join(f'{name:>8}' for name in Tally._fields)}")
     for queue, tally in tallies.items():
         click.echo(f"{queue:10} {' '.join(f'{count:8}' for count in tally)}")
--- a/hawthorntrack/experiment/model_site.py
+++ b/hawthorntrack/experiment/model_site.py
@@ -7,9 +7,11 @@
 import itertools
 import random
 from collections import Counter, defaultdict
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from typing import Any, NamedTuple
 
+import looptime
+
 from hawthorntrack.coordination.dispatcher import Dispatcher
 from hawthorntrack.coordination.leaseholder import LeaseHolder
 from hawthorntrack.coordination.ordering import USUAL_ORDER, waiting_orders
@@ -31,6 +33,7 @@
 RESEND_S = 1.3
 LATE_FACTOR = 3
 REDIAL_S = 0.1
+LOOP_START_S = 1_000.0
 LOOK_S = 0.001  # the loop's clock has no finer steps
 ENTRY_TICK_S = 0.02
 GUARD_TICK_S = 0.1
@@ -545,3 +548,12 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def in_simulated_time(work: Coroutine[Any, Any, Any]) -> Any:
+    """Return what `work` returns, on a loop whose clock is advanced, not waited for."""
+    loop = looptime.new_event_loop(start=LOOP_START_S)
+    try:
+        return loop.run_until_complete(work)
+    finally:
+        loop.close()
--- a/hawthorntrack/experiment/orders.py
+++ b/hawthorntrack/experiment/orders.py
@@ -4,11 +4,14 @@
 from statistics import fmean
 from typing import NamedTuple
 
-import looptime
+from hawthorntrack.experiment.model_site import (
+    SMALL_SITE,
+    Answered,
+    ModelSite,
+    Site,
+    in_simulated_time,
+)
 
-from hawthorntrack.experiment.model_site import SMALL_SITE, Answered, ModelSite, Site
-
-LOOP_START_S = 1_000.0
 WINDOW_S = 2.0  # one in which callers judge the service
 SERVED = frozenset({"in_time", "late"})
 LARGEST_SHARE = 0.1  # of a kind's jobs, by their work
@@ -83,9 +86,7 @@
 ) -> OrderResult:
     """Play a load under one order of waiting."""
     model = ModelSite(site, seed, order)
-    loop = looptime.new_event_loop(start=LOOP_START_S)
-    loop.run_until_complete(model.play(seconds, factor=lambda at: load))
-    loop.close()
+    in_simulated_time(model.play(seconds, factor=lambda at: load))
     return result_of(order, model.answers)
 
 
