Log which run of a task was ordered, repeated and stopped, and under what trust

Callers saw a task run twice. The logs could not tell the hypotheses apart: a guard wrote no line for a run that it took, and its lines on stops and on new lives of a target named neither the run's number nor the life, the token or the trust left.

Change: run:taken (a line for each order of an owner, with the trust left), run:start_again (why a start is sent once more), run:over (each end but a good one); run:stop and target:new tell the run, the life and the token.

Behaviour as before: tests of the lease holder, the dispatcher, state and layers pass.

--- a/hawthorntrack/coordination/leaseholder.py
+++ b/hawthorntrack/coordination/leaseholder.py
@@ -212,6 +212,14 @@
         known = self.trusted_until.get(sender.address, 0.0)
         self.trusted_until[sender.address] = max(known, trusted)
         if taken:
+            log_event(
+                "run:taken",
+                job=taken[0].task.job,
+                runs=",".join(f"{name.task.place}:{name.run}" for name in taken),
+                owner=str(sender),
+                trust_left_ms=round((trusted - now) * 1000),
+                born_ms=session.state.life.born_ms,
+            )
             self.send(sender.address, RunsTaken(tuple(taken), self.room()))
             self.room_changed()
         for reason, names in refused.items():
@@ -325,6 +333,8 @@
             session.runs.pop(run.name.task, None)
             if how == "stopped" and run.why:
                 how = run.why
+            if how != "done":
+                log_event("run:over", **self.particulars(session, run), how=how)
             if how in ("done", "failed"):
                 self.judge(run, spoiled=how == "failed")
             if how == "done":
--- a/hawthorntrack/coordination/run_placing.py
+++ b/hawthorntrack/coordination/run_placing.py
@@ -379,7 +379,8 @@
         log_event(
             "run:ended",
             job=job.plan.key,
-            task=f"{task.name.step}.{task.name.index}",
+            task=task.name.place,
+            run=ending.number,
             how=ending.how,
             guard=guard,
             failures=task.failures,
--- a/hawthorntrack/coordination/target_lists.py
+++ b/hawthorntrack/coordination/target_lists.py
@@ -245,7 +245,16 @@
             if name not in ours and name.task not in session.runs
         }
         for name in foreign:
-            log_event("run:stop", job=name.task.job, why="unknown_here", phase="")
+            log_event(
+                "run:stop",
+                job=name.task.job,
+                task=name.task.place,
+                run=name.run,
+                born_ms=session.state.life.born_ms,
+                token=session.token,
+                why="unknown_here",
+                percent=listed[name],
+            )
             self.calls.put(StopOrder(session.target, name, session.token))
         session.foreign = foreign
 
--- a/hawthorntrack/coordination/target_orders.py
+++ b/hawthorntrack/coordination/target_orders.py
@@ -100,8 +100,16 @@
     def begin_life(self, state: TargetState, now: float) -> None:
         """Begin with a new life of a target."""
         older = self.sessions.pop(state.life.id, None)
-        log_event("target:new", target=state.life.id, born_ms=state.life.born_ms)
         session = TargetSession(state, self.first_token, now)
+        log_event(
+            "target:new",
+            target=state.life.id,
+            born_ms=state.life.born_ms,
+            sequence=state.sequence,
+            born_before_ms=older.state.life.born_ms if older is not None else 0,
+            runs_before=len(older.runs) if older is not None else 0,
+            token_before=older.token if older is not None else 0,
+        )
         self.sessions[state.life.id] = session
         self.health = health_rules.Health()
         if older is not None:
@@ -136,6 +144,17 @@
         live = [s for s in self.sessions.values() if not s.state.draining]
         return max(live, key=lambda s: s.state.life.born_ms, default=None)
 
+    def particulars(self, session: TargetSession, run: Run) -> dict[str, object]:
+        """Return what tells a run, and the life of the target that it is at."""
+        return {
+            "job": run.name.task.job,
+            "task": run.name.task.place,
+            "run": run.name.run,
+            "owner": run.owner,
+            "born_ms": session.state.life.born_ms,
+            "token": session.token,
+        }
+
     def order_start(self, session: TargetSession, run: Run) -> None:
         """Send a start, with the number that the run has now."""
         now = self.clock()
@@ -158,7 +177,13 @@
         """Send a stop; it fences a start that is still on its way, too."""
         if run.phase == STOPPING:
             return
-        log_event("run:stop", job=run.name.task.job, why=why, phase=run.phase)
+        log_event(
+            "run:stop",
+            **self.particulars(session, run),
+            why=why,
+            phase=run.phase,
+            target_age_ms=round((self.clock() - session.heard_at) * 1000),
+        )
         run.phase, run.why, run.tries = STOPPING, why, 0
         run.moved_at = 0.0
         self.calls.put(StopOrder(session.target, run.name, session.token))
@@ -207,11 +232,22 @@
         """Send a start again a few times."""
         labelled(RETRIES, reason).inc()
         run.tries += 1
+        self.log_start_again(session, run, reason)
         if run.tries < START_TRIES:
             self.order_start(session, run)
         else:
             self.abandon_start(session, run, "unwell")
 
+    def log_start_again(self, session: TargetSession, run: Run, reason: str) -> None:
+        """Tell why a start is sent once more, or looked for in the lists."""
+        log_event(
+            "run:start_again",
+            **self.particulars(session, run),
+            reason=reason,
+            tries=run.tries,
+            repeats=run.repeats,
+        )
+
     def abandon_start(self, session: TargetSession, run: Run, reason: str) -> None:
         """Give back a run that was not begun.
 
@@ -267,6 +303,7 @@
         """
         labelled(RETRIES, "start_unanswered").inc()
         session.lost_answer_at = self.clock()
+        self.log_start_again(session, run, "start_unanswered")
         if run.repeats < START_REPEATS:
             run.repeats += 1
             self.order_start(session, run)
--- a/hawthorntrack/state/plans.py
+++ b/hawthorntrack/state/plans.py
@@ -65,6 +65,17 @@
     step: int
     index: int
 
+    @property
+    def place(self) -> str:
+        """Return the task's place in its job, as log lines show it.
+
+        Examples
+        --------
+        >>> TaskName("5c0e7a21d94b36f8", 0, 1, 17).place
+        '1.17'
+        """
+        return f"{self.step}.{self.index}"
+
 
 class RunName(NamedTuple):
     """One run of a task; `run` counts the task's starts from 1."""
