Show that a repeated start begins a run that has ended again

A start that gets no answer is sent again under its number. Where the first was carried out and its run is over, the target refuses the repeat as old, and the guard takes that for a number used by an earlier guard: it starts the task under a higher one.

--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -543,3 +543,51 @@
     guard.answer_holds()
     (ended,) = guard.messages(RunsEnded)
     assert [(e.name, e.how) for e in ended.endings] == [(name, "start_unanswered")]
+
+
+def test_run_that_ended_before_its_repeated_start_is_not_begun_twice(guard):
+    """The repeat is refused as old: its own first order was carried out."""
+    (name,) = guard.order_runs()
+    guard.answer_starts("unanswered")
+    guard.answer_starts("old_run")
+    assert guard.orders(StartOrder) == []
+    guard.time += 0.01
+    guard.holder.look(guard.holder.current())
+    guard.answer_holds(ended=[RunEnd(1, name, "done")])
+    (ended,) = guard.messages(RunsEnded)
+    assert [(e.name, e.how) for e in ended.endings] == [(name, "done")]
+
+
+def test_run_at_work_is_not_begun_under_a_higher_number(guard):
+    """A target may refuse the repeat of a run that it has already begun."""
+    (name,) = guard.order_runs()
+    guard.answer_starts("unanswered")
+    guard.answer_starts("old_run")
+    guard.time += 0.01
+    guard.holder.look(guard.holder.current())
+    guard.answer_holds([RunStatus(name, 5)])
+    assert guard.orders(StartOrder) == []
+    assert guard.orders(StopOrder) == []
+    guard.answer_holds(ended=[RunEnd(1, name, "done")])
+    assert guard.messages(RunsEnded)[0].endings[0].how == "done"
+
+
+def test_number_used_before_is_raised_only_after_a_doubtful_start_is_fenced(guard):
+    (name,) = guard.order_runs()
+    guard.answer_starts("unanswered")
+    guard.answer_starts("old_run")
+    guard.time += 0.01
+    guard.holder.look(guard.holder.current())
+    guard.answer_holds()
+    (stop,) = guard.orders(StopOrder)
+    assert stop.name == name
+    guard.tell(StopReply(stop, "stopped", 5_000))
+    guard.time += 0.01
+    guard.holder.look(guard.holder.current())
+    guard.answer_holds()
+    (ended,) = guard.messages(RunsEnded)
+    assert [(e.name, e.how) for e in ended.endings] == [(name, "start_unanswered")]
+    guard.order_runs(number=2)
+    guard.answer_starts("old_run")
+    (again,) = guard.answer_starts()
+    assert again.name.run > 2
