Look for a repeated start that is refused as old, rather than renumber it

Callers saw nothing but a doubled task: the same work done twice, the second time after the first had ended or beside it.

Cause: a start without an answer is sent again under its number. If the first order was carried out and its run had ended by the time of the repeat (a short task on a fast target ends within the time-out of a call), the target answered the repeat with old, and raise_number took that for a number an earlier guard had used.

Ruled out, by reading: an end matched with the wrong number (with the fix a number is raised only while every order under it was answered as not begun, so no end of it can come); an end taken in by another hold (it ends the run in any phase, and the late reply finds none); fenced and late (both are repeated under the same number, which begins once); no_room, unwell, unreachable and invalid (they go through abandon_start, which stops first).

Change: after an order without an answer, old_run leaves the run unsure and asks for the lists: an end ends it, a run listed goes on, neither has it stopped and given back as any doubtful start. A restarted guard still raises the number where no answer is missing.

--- a/hawthorntrack/coordination/target_orders.py
+++ b/hawthorntrack/coordination/target_orders.py
@@ -219,7 +219,17 @@
 
     @after_start.register("old_run")
     def raise_number(self, session: TargetSession, run: Run) -> None:
-        """Send it again with a higher number, which an earlier guard has not used."""
+        """Send it again with a higher number, which an earlier guard has not used.
+
+        Explanation
+        -----------
+        After an order without an answer the number may be this run's own: it has
+        begun, and may be over. Then the lists tell.
+        """
+        if run.repeats:
+            self.log_start_again(session, run, "old_run")
+            self.look_for_start(session, run)
+            return
         run.name = RunName(run.name.task, run.name.run + 2**run.tries)
         self.try_again(session, run, "old_run")
 
@@ -308,6 +318,10 @@
             run.repeats += 1
             self.order_start(session, run)
             return
+        self.look_for_start(session, run)
+
+    def look_for_start(self, session: TargetSession, run: Run) -> None:
+        """Have the lists tell whether a run has begun."""
         run.phase = UNSURE
         run.moved_at = self.clock()
         self.look(session)
