Show that a slow target clock makes leases longer than meant

A guard computes the end of a lease from its last reading of the target's clock as though that clock kept time. On one that is 2% slow and was read 3 s before, the lease ends late:

With pace 1.0 the test passes, so nothing but the slow clock is at work.

--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -47,6 +47,20 @@
 OTHER = Incarnation("entry:2", "e2")
 NEED = Resources(1_600, 64)
 LIFE = TargetLife("t1", 100)
+SLOWEST_PACE = 0.98  # stated for targets' clocks
+
+
+class Orders(Mailbox):
+    """Keeps orders to the target, and the leases that they carry."""
+
+    def __init__(self) -> None:
+        super().__init__("calls")
+        self.leases_ms = []
+
+    def put(self, order):
+        super().put(order)
+        lease_ms = getattr(order, "lease_ms", None)
+        self.leases_ms += [] if lease_ms is None else [lease_ms]
 
 
 class Guard:
@@ -54,7 +68,8 @@
 
     def __init__(self) -> None:
         self.time = 1_000.0
-        self.calls = Mailbox("calls")
+        self.pace = 1.0
+        self.calls = Orders()
         self.memory = Mailbox("memory")
         self.sent = []
         self.holder = LeaseHolder(
@@ -74,6 +89,14 @@
         self.time += seconds
         self.tell(Tick())
 
+    def clock_ms(self):
+        """Return what the target's clock shows."""
+        return 5_000 + round((self.time - 1_000) * 1_000 * self.pace)
+
+    def lease_over(self):
+        """Return when the target's clock reaches the end of the longest lease."""
+        return 1_000 + (max(self.calls.leases_ms) - 5_000) / 1_000 / self.pace
+
     def orders(self, kind):
         queue = self.calls.queue
         items = [queue.get_nowait() for _ in range(queue.qsize())]
@@ -106,7 +129,7 @@
         for order in self.orders(HoldOrder):
             born_ms = order.target.life.born_ms
             lists = (tuple(running), tuple(ended))
-            self.tell(HoldReply(order, outcome, 5_000, born_ms, *lists))
+            self.tell(HoldReply(order, outcome, self.clock_ms(), born_ms, *lists))
 
     def order_runs(self, count=1, job="a" * 16, number=1, age_s=0.0, left_ms=9_000):
         """Have the entry instance order runs; return their names."""
@@ -119,7 +142,7 @@
     def answer_starts(self, outcome="started"):
         orders = self.orders(StartOrder)
         for order in orders:
-            self.tell(StartReply(order, outcome, 5_000))
+            self.tell(StartReply(order, outcome, self.clock_ms()))
         return orders
 
 
@@ -160,6 +183,17 @@
     assert start.lease_ms <= 5_000 + 1_000 * LEASE_S
 
 
+@pytest.mark.parametrize("pace", [SLOWEST_PACE, 1.0])
+def test_lease_on_a_clock_read_long_ago_is_no_longer_where_that_clock_is_slow(
+    guard, pace
+):
+    guard.pace = pace
+    guard.time += 3.0
+    guard.order_runs()
+    assert guard.orders(StartOrder) != []
+    assert guard.lease_over() <= guard.time + LEASE_S
+
+
 def test_counts_room_that_unfinished_runs_occupy(guard):
     guard.order_runs(count=12)
     (taken,), (refused,) = guard.messages(RunsTaken), guard.messages(RunsRefused)
