Allow for a slow target clock over the whole time since it was read

The end of a lease was the last reading of the target's clock plus the time since, plus the lease. A clock that is 2% slow has not come that far: with a reading 3 s old the lease lasted 0.980 s, and each bound that counts on 0.9 s was wrong by as much.

Change: leases.lease_until takes the time at which the lease should be over and divides the whole time from the reading until then by CLOCK_SLACK. A clock that keeps time gets leases 3% shorter.

Before: test_lease_on_a_clock_read_long_ago_is_no_longer_where_that_clock_is_slow failed with pace 0.98. After: it passes, as do the tests of the lease holder, the dispatcher and the model site (131 tests). Conclusion: one of the bounds' inputs is right now; the bounds themselves are not yet.

--- a/hawthorntrack/coordination/leases.py
+++ b/hawthorntrack/coordination/leases.py
@@ -31,15 +31,15 @@
     read_at: float
 
 
-def lease_until(clock: TargetClock, now: float) -> int:
-    """Return until when to lease, on the target's clock.
+def lease_until(clock: TargetClock, ends: float) -> int:
+    """Return what a target's clock shows at a time of ours, if it is slow.
 
     Examples
     --------
-    >>> lease_until(TargetClock(50_000, 10.0), 10.5)
-    51400
+    >>> lease_until(TargetClock(50_000, 10.0), 11.4)
+    51359
     """
-    return round(clock.clock_ms + (now - clock.read_at + LEASE_S) * 1000)
+    return clock.clock_ms + int((ends - clock.read_at) / CLOCK_SLACK * 1000)
 
 
 def lapsed_by(last_sent: float) -> float:
--- a/hawthorntrack/coordination/target_lists.py
+++ b/hawthorntrack/coordination/target_lists.py
@@ -96,7 +96,7 @@
             return
         lease_ms = None
         if session.runs and not session.failures and not self.doubtful(session, now):
-            lease_ms = leases.lease_until(session.clock, now)
+            lease_ms = leases.lease_until(session.clock, now + leases.LEASE_S)
             session.last_sent = now
         waits = session.runs and session.verified
         wait_s = HOLD_WAIT_S if waits else 0.0
--- a/hawthorntrack/coordination/target_orders.py
+++ b/hawthorntrack/coordination/target_orders.py
@@ -168,7 +168,7 @@
                 session.target,
                 run.name,
                 run.payload,
-                leases.lease_until(session.clock, now),
+                leases.lease_until(session.clock, now + leases.LEASE_S),
                 session.token,
             )
         )
