--- a/hawthorntrack/coordination/tests/test_decisions.py
+++ b/hawthorntrack/coordination/tests/test_decisions.py
@@ -7,7 +7,7 @@
 from hypothesis import settings as settings_of_search
 from hypothesis import strategies as st
 
-from hawthorntrack.coordination import health
+from hawthorntrack.coordination import health, leases
 from hawthorntrack.coordination import ownership as own
 from hawthorntrack.coordination.admission import (
     LoadView,
@@ -429,3 +429,10 @@
     assert fleet.views("visits", {guards[0]}, 1.001, 2.0)[0].waiting == 8
     fleet.loaded(guards[0], load._replace(busy=8, sequence=2), 1.1)
     assert fleet.views("visits", {guards[0]}, 1.1, 2.0)[0].waiting == 8
+
+
+RESEND_S = 1.3  # stated: from a broken connection, 502 or 504 to the next attempt
+
+
+def test_runs_of_an_owner_that_is_gone_are_over_before_its_caller_sends_again():
+    assert leases.gone_by(0.0) < RESEND_S
--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -3,7 +3,7 @@
 import pytest
 
 from hawthorntrack.coordination.leaseholder import LeaseHolder
-from hawthorntrack.coordination.leases import LEASE_S, TRUST_S
+from hawthorntrack.coordination.leases import LEASE_S, STOP_S, TRUST_S, gone_by
 from hawthorntrack.coordination.target_orders import START_REPEATS
 from hawthorntrack.protocol.dispatch import (
     CheckRuns,
@@ -48,6 +48,7 @@
 NEED = Resources(1_600, 64)
 LIFE = TargetLife("t1", 100)
 SLOWEST_PACE = 0.98  # stated for targets' clocks
+RESEND_S = 1.3  # stated: from a broken connection, 502 or 504 to the next attempt
 
 
 class Orders(Mailbox):
@@ -102,7 +103,7 @@
         items = [queue.get_nowait() for _ in range(queue.qsize())]
         for item in items:
             if type(item) is not kind:
-                self.calls.put(item)
+                queue.put_nowait(item)
         return [item for item in items if type(item) is kind]
 
     def messages(self, kind):
@@ -397,11 +398,119 @@
 def test_lease_is_not_renewed_while_a_stop_is_not_being_answered(running):
     guard, name = running
     guard.tell(StopRuns((name,)), ENTRY)
-    for _ in range(4):
-        (stop,) = guard.orders(StopOrder)
-        guard.tell(StopReply(stop, "unanswered"))
+    granted = list(guard.calls.leases_ms)
+    lose_stops(guard, name, vouching=True)
+    assert guard.orders(HoldOrder) != []
+    assert guard.calls.leases_ms == granted
+
+
+def test_lease_is_renewed_as_soon_as_a_stop_was_answered(guard):
+    """Other runs on the target are under the same lease."""
+    names = guard.order_runs(count=2)
+    guard.answer_starts()
+    guard.orders(HoldOrder)
+    guard.tell(StopRuns(names[:1]), ENTRY)
+    (stop,) = guard.orders(StopOrder)
+    guard.tell(StopReply(stop, "stopped", guard.clock_ms()))
+    assert [hold.lease_ms is None for hold in guard.orders(HoldOrder)] == [False]
+
+
+@pytest.fixture
+def slow_running(running):
+    """Return a guard with a run just vouched for; the target's clock is slow."""
+    guard, name = running
+    guard.pace = SLOWEST_PACE
+    guard.time += 0.2
+    guard.tell(Vouch(round(guard.time * 1000), 1, ()), ENTRY)
     guard.answer_holds([RunStatus(name, 2)])
-    assert [hold.lease_ms for hold in guard.orders(HoldOrder)] == [None]
+    return guard, name
+
+
+def lose_stops(guard, name, vouching, seconds=1.6):
+    """Let time pass; holds are answered, stops are not."""
+    for step in range(round(seconds / 0.05)):
+        guard.time += 0.05
+        for stop in guard.orders(StopOrder):
+            guard.tell(StopReply(stop, "unanswered"))
+        if vouching and step % 4 == 0:
+            guard.tell(Vouch(round(guard.time * 1000), 1, ()), ENTRY)
+        guard.answer_holds([RunStatus(name, 3 + step)])
+        if step % 2:
+            guard.tell(Tick())
+
+
+THE_RUN = RunName(TaskName("a" * 16, 0, 0, 0), 1)
+
+
+@pytest.mark.parametrize(
+    ("news", "sender"),
+    [
+        (Tick(), None),
+        (LinkDown(ENTRY.address), None),
+        (Hello("entry", "recife", "entry-1"), ENTRY._replace(nonce="e2")),
+        (StopRuns((THE_RUN,)), ENTRY),
+        (CheckRuns(()), ENTRY),
+        (DropJob(THE_RUN.task.job), OTHER),
+    ],
+    ids=["silent", "killed", "restarted", "job_ended", "relinked", "cancelled"],
+)
+def test_unwanted_run_whose_stops_are_lost_is_over_before_its_caller_sends_again(
+    slow_running, news, sender
+):
+    guard, name = slow_running
+    unwanted_at = guard.time
+    guard.tell(news, sender)
+    lose_stops(guard, name, vouching=type(news) in (StopRuns, CheckRuns, DropJob))
+    assert guard.lease_over() + STOP_S < unwanted_at + RESEND_S
+
+
+@pytest.mark.parametrize("suspended_s", [0.55, 0.65, 0.95, 2.0])
+@pytest.mark.parametrize("stops_lost", [False, True])
+def test_guard_that_stood_still_lets_no_run_outlast_its_owner(
+    slow_running, suspended_s, stops_lost
+):
+    """The answer to a hold waits for it when it goes on, before any tick."""
+    guard, name = slow_running
+    owner_gone_at = guard.time
+    guard.time += suspended_s
+    guard.answer_holds([RunStatus(name, 3)])
+    if stops_lost:
+        lose_stops(guard, name, vouching=False)
+    assert guard.lease_over() + STOP_S <= gone_by(owner_gone_at)
+    assert guard.lease_over() + STOP_S < owner_gone_at + RESEND_S
+
+
+def test_runs_of_another_owner_do_not_extend_those_of_a_silent_one(slow_running):
+    """One lease covers all that runs on a target."""
+    guard, name = slow_running
+    owner_gone_at = guard.time
+    for step in range(14):
+        guard.time += 0.1
+        stamp_ms = round(guard.time * 1000)
+        other = RunName(TaskName(f"b{step:015x}", 0, 0, 0), 1)
+        guard.tell(
+            StartRuns(stamp_ms, "spec", 9_000, (RunOrder(other, NEED, 1),)), OTHER
+        )
+        guard.answer_starts()
+        for stop in guard.orders(StopOrder):
+            guard.tell(StopReply(stop, "unanswered"))
+        guard.answer_holds([RunStatus(name, 3 + step)])
+        guard.tell(Tick())
+    assert guard.lease_over() + STOP_S < owner_gone_at + RESEND_S
+
+
+def test_lease_keeps_half_a_second_while_owner_and_target_answer(slow_running):
+    """Load pattern: a calm day; pulses come each 0.2 s, on ticks of 0.1 s."""
+    guard, name = slow_running
+    least_s = LEASE_S
+    for step in range(40):
+        guard.time += 0.1
+        if step % 2:
+            least_s = min(least_s, guard.lease_over() - guard.time)
+            guard.answer_holds([RunStatus(name, 3 + step)])
+            guard.tell(Vouch(round(guard.time * 1000) - 20, 1, ()), ENTRY)
+        guard.tell(Tick())
+    assert least_s >= 0.5
 
 
 def test_stops_the_runs_of_an_owner_that_falls_silent(running):
