Let no lease outlast the trust in an owner by more than 0.4 s

A run's owner placed it again 1.63 s after the last pulse, its caller sent the job again after 1.3 s, and a lease could be renewed by 0.9 s at any moment before that: by an answer to a hold that a guard handled after it had stood still, before the tick that ends the trust; while up to three stops went unanswered; for another owner's runs on the same target.

`lease_end` gives each order, to start or to hold, the earliest of now + LEASE_S and, for every owner with a run there, the end of its trust + OUTLASTS_S. While a stop is not confirmed, a stranger's run is listed or an owner's trust has ended, nothing is renewed; a start then carries what was granted before, and is given back if that is over. As leases are ends on the target's clock, neither a guard that stands still nor lost or late orders move them. `gone_by` is trust + OUTLASTS_S + STOP_S, 1.1 s, and so below 1.3 s for the owner and the caller alike. A session keeps the end of its leases instead of the time of the last order. The look after a confirmed stop renews the lease for the runs that stay.

Starts that are sent again still do not look at whether the owner is trusted.

--- a/hawthorntrack/coordination/leaseholder.py
+++ b/hawthorntrack/coordination/leaseholder.py
@@ -77,7 +77,6 @@
         self.send = send
         self.drained = drained
         self.entries: dict[str, str] = {}
-        self.trusted_until: dict[str, float] = {}
         self.wanting_news: set[str] = set()
         self.told_standing = ""
         self.settled: dict[TaskName, tuple[float, Ending]] = {}
@@ -199,6 +198,8 @@
         taken: list[RunName] = []
         refused: dict[str, list[RunName]] = defaultdict(list)
         trusted = order.stamp_ms / 1000 + leases.TRUST_S
+        known = self.trusted_until.get(sender.address, 0.0)
+        self.trusted_until[sender.address] = max(known, trusted)
         standing = self.standing(session, now) if trusted > now else "stale_order"
         free = session.free if session is not None else None
         for run_order in order.runs:
@@ -209,8 +210,6 @@
             free = free.minus(run_order.need)
             taken.append(run_order.name)
             self.begin_run(session, run_order, order, sender.address, now)
-        known = self.trusted_until.get(sender.address, 0.0)
-        self.trusted_until[sender.address] = max(known, trusted)
         if taken:
             log_event(
                 "run:taken",
--- a/hawthorntrack/coordination/leases.py
+++ b/hawthorntrack/coordination/leases.py
@@ -5,12 +5,13 @@
 time for the caller's next attempt elsewhere.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 LEASE_S = 0.9  # under the longest lease that targets grant, 1 s
 CLOCK_SLACK = 1.03  # targets' clocks are up to 2% slow
 TRUST_S = 0.6  # three pulses; a caller sends again 1.3 s after a broken connection
+OUTLASTS_S = 0.4  # of a lease beyond trust; both and a stop end within a caller's 1.3 s
 RELINK_S = 0.25  # for a broken link to be made anew
 STOP_S = 0.1  # twice what a target takes to stop a run
 FIRST_TOKEN_STEP = 1_000
@@ -42,9 +43,20 @@
     return clock.clock_ms + int((ends - clock.read_at) / CLOCK_SLACK * 1000)
 
 
-def lapsed_by(last_sent: float) -> float:
-    """Return when all runs have lapsed if no order after `last_sent` arrived."""
-    return last_sent + LEASE_S * CLOCK_SLACK + STOP_S
+def lease_end(now: float, trusted_until: Iterable[float]) -> float:
+    """Return when a lease should be over that covers runs of owners so trusted.
+
+    Examples
+    --------
+    >>> lease_end(10.0, [10.6]), lease_end(10.0, [10.6, 10.25])
+    (10.9, 10.65)
+    """
+    return min([now + LEASE_S, *(until + OUTLASTS_S for until in trusted_until)])
+
+
+def lapsed_by(lease_ends: float) -> float:
+    """Return when all runs under a lease have lapsed."""
+    return lease_ends + STOP_S
 
 
 def gone_by(last_pulse: float) -> float:
@@ -53,10 +65,10 @@
     Explanation
     -----------
     The owner vouches for the stamps of pulses only, so the guard's trust ends
-    `TRUST_S` after the newest pulse the owner has seen. The guard may then have
-    renewed a lease just before, and been suspended right after.
+    `TRUST_S` after the newest pulse the owner has seen. No lease goes on for longer
+    than `OUTLASTS_S` after it, also if the guard stands still or its stops are lost.
     """
-    return lapsed_by(last_pulse + TRUST_S)
+    return lapsed_by(last_pulse + TRUST_S + OUTLASTS_S)
 
 
 def untrusted(trusted_until: Mapping[str, float], now: float) -> set[str]:
--- a/hawthorntrack/coordination/sessions.py
+++ b/hawthorntrack/coordination/sessions.py
@@ -76,8 +76,8 @@
         Fencing token of the next order.
     ends_seen : int
         Number of the last end that was taken in.
-    last_sent : float
-        When the last order that renews the lease was sent; 0.0 before the first.
+    lease_ends : float
+        When all leases that were ordered are over; 0.0 before the first.
     announced : bool
         Whether the target has told what this life can take.
     verified : bool
@@ -93,7 +93,7 @@
         self.ends_seen = 0
         self.ends_acknowledged = 0
         self.holding: HoldOrder | None = None
-        self.last_sent = 0.0
+        self.lease_ends = 0.0
         self.heard_at = now
         self.failures = 0
         self.lost_answer_at = -math.inf
--- a/hawthorntrack/coordination/target_lists.py
+++ b/hawthorntrack/coordination/target_lists.py
@@ -50,6 +50,7 @@
         self.calls = calls
         self.clock = clock
         self.sessions: dict[str, TargetSession] = {}
+        self.trusted_until: dict[str, float] = {}
         self.health = health_rules.Health()
         self.slowness = 1.0
 
@@ -94,10 +95,7 @@
         doubted = session.failures or not session.verified
         if session.holding is not None or not (session.runs or pending or doubted):
             return
-        lease_ms = None
-        if session.runs and not session.failures and not self.doubtful(session, now):
-            lease_ms = leases.lease_until(session.clock, now + leases.LEASE_S)
-            session.last_sent = now
+        lease_ms = self.renewal(session, now)
         waits = session.runs and session.verified
         wait_s = HOLD_WAIT_S if waits else 0.0
         session.holding = self.order_hold(session, lease_ms, wait_s)
@@ -117,14 +115,42 @@
     def look(self, session: TargetSession) -> None:
         """Ask for the lists now, beside a hold that waits for an end."""
         if session.holding is not None:
-            self.order_hold(session, None, 0.0)
+            lease_ms = self.renewal(session, self.clock())
+            self.order_hold(session, lease_ms, 0.0)
         else:
             self.hold(session)
 
+    def renewal(self, session: TargetSession, now: float) -> int | None:
+        """Return the lease of a hold; None if the target's lease is to stay."""
+        wanted = any(run.phase != STOPPING for run in session.runs.values())
+        if not wanted or session.failures or self.doubtful(session, now):
+            return None
+        return self.lease(session, now)
+
+    def lease(self, session: TargetSession, now: float) -> int:
+        """Return until when everything on a target may go on, on its clock.
+
+        Explanation
+        -----------
+        One lease covers all runs there. So while one must not go on, a start for
+        another gets what has been granted before.
+        """
+        if not self.doubtful(session, now):
+            trusted = [
+                self.trusted_until[run.owner]
+                for run in session.runs.values()
+                if run.phase != STOPPING
+            ]
+            ends = leases.lease_end(now, trusted)
+            session.lease_ends = max(session.lease_ends, ends)
+        return leases.lease_until(session.clock, session.lease_ends)
+
     def doubtful(self, session: TargetSession, now: float) -> bool:
-        """Return whether a run must not go on and its stop is not being answered."""
-        return any(
-            run.phase == STOPPING and not run.moved_at and run.tries > 2
+        """Return whether something must not go on and is not known to be stopped."""
+        return bool(session.foreign) or any(
+            not run.moved_at
+            if run.phase == STOPPING
+            else self.trusted_until.get(run.owner, 0.0) <= now
             for run in session.runs.values()
         )
 
@@ -284,7 +310,7 @@
     def give_up_on_silent(self, session: TargetSession, now: float) -> None:
         """Report runs as lapsed once no lease can be left."""
         if session.failures and session.runs:
-            if now > leases.lapsed_by(session.last_sent):
+            if now > leases.lapsed_by(session.lease_ends):
                 self.finish(session, [(run, "lapsed") for run in session.runs.values()])
         if not session.runs and now - session.heard_at > 3 * SILENT_S:
             log_event("target:silent", target=session.state.life.id)
--- a/hawthorntrack/coordination/target_orders.py
+++ b/hawthorntrack/coordination/target_orders.py
@@ -125,7 +125,7 @@
         A crash shows some time after it. A start that was sent meanwhile has been
         carried out by the new life, which goes by the same id.
         """
-        session.last_sent, session.token = older.last_sent, older.token
+        session.lease_ends, session.token = older.lease_ends, older.token
         session.runs = older.runs
         for run in session.runs.values():
             why, run.phase = run.why or "lost", UNSURE
@@ -162,15 +162,12 @@
             self.numbers = dict(list(self.numbers.items())[NUMBERS_KEPT // 2 :])
         self.numbers[run.name.task] = run.name.run
         run.phase = STARTING
-        session.last_sent = now
+        lease_ms = self.lease(session, now)
+        if session.lease_ends <= now:
+            self.unwell(session, run)
+            return
         self.calls.put(
-            StartOrder(
-                session.target,
-                run.name,
-                run.payload,
-                leases.lease_until(session.clock, now + leases.LEASE_S),
-                session.token,
-            )
+            StartOrder(session.target, run.name, run.payload, lease_ms, session.token)
         )
 
     def stop(self, session: TargetSession, run: Run, why: str) -> None:
--- a/hawthorntrack/coordination/tests/test_decisions.py
+++ b/hawthorntrack/coordination/tests/test_decisions.py
@@ -435,4 +435,11 @@
 
 
 def test_runs_of_an_owner_that_is_gone_are_over_before_its_caller_sends_again():
+    """Whenever the lease is granted, and however slow the target's clock is."""
+    longest_stop_s, slowest_pace = 0.05, 0.98  # stated
+    clock = leases.TargetClock(0, 0.0)
+    for granted_at in [step / 100 for step in range(100)]:
+        ends = leases.lease_end(granted_at, [leases.TRUST_S])
+        over = leases.lease_until(clock, ends) / 1000 / slowest_pace
+        assert over + longest_stop_s < leases.gone_by(0.0)
     assert leases.gone_by(0.0) < RESEND_S
--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -499,9 +499,11 @@
     assert guard.lease_over() + STOP_S < owner_gone_at + RESEND_S
 
 
-def test_lease_keeps_half_a_second_while_owner_and_target_answer(slow_running):
+@pytest.mark.parametrize("pace", [SLOWEST_PACE, 1.0])
+def test_lease_keeps_half_a_second_while_owner_and_target_answer(running, pace):
     """Load pattern: a calm day; pulses come each 0.2 s, on ticks of 0.1 s."""
-    guard, name = slow_running
+    guard, name = running
+    guard.pace = pace
     least_s = LEASE_S
     for step in range(40):
         guard.time += 0.1
