Show that starts are sent again for owners that have given their runs up

A guard that stood still for 2 s finds its start turned away (late, fenced or old) and sends it again, though the owner gave the run up after 1.1 s and the caller has gone elsewhere. On the new start carried a whole fresh lease:

assert [StartOrder(..., run=1, lease_ms=7900, token=50)] == [] clock at 7000

With leases bound to trust the run is given back, as though the target were unwell ('unwell' != 'owner_silent'), which also shuts the target to others for 0.2 s. Between the end of trust and 0.4 s later the start still goes out, shown with one that got no answer:

assert [StartOrder(..., run=1, lease_ms=5891, token=50)] == []

--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -480,6 +480,31 @@
     assert guard.lease_over() + STOP_S < owner_gone_at + RESEND_S
 
 
+@pytest.mark.parametrize("outcome", ["late", "fenced", "old_run"])
+def test_start_turned_away_after_its_owner_gave_it_up_is_not_sent_again(guard, outcome):
+    """The answer waits for a guard that stood still."""
+    (name,) = guard.order_runs()
+    guard.time += 2.0
+    guard.answer_starts(outcome)
+    assert guard.orders(StartOrder) == []
+    (refused,) = guard.messages(RunsRefused)
+    assert (refused.runs, refused.reason) == ((name,), "owner_silent")
+
+
+@pytest.mark.parametrize("outcomes", [("unanswered",), ("unanswered", "late")])
+def test_start_unanswered_when_its_owner_gave_it_up_is_fenced_instead_of_repeated(
+    guard, outcomes
+):
+    (name,) = guard.order_runs()
+    for outcome in outcomes[:-1]:
+        guard.answer_starts(outcome)
+    guard.time += TRUST_S + 0.01
+    guard.answer_starts(outcomes[-1])
+    assert guard.orders(StartOrder) == []
+    assert [stop.name for stop in guard.orders(StopOrder)] == [name]
+    assert guard.messages(RunsRefused) == []
+
+
 def test_runs_of_another_owner_do_not_extend_those_of_a_silent_one(slow_running):
     """One lease covers all that runs on a target."""
     guard, name = slow_running
