Send no start for an owner whose trust has ended

Each outcome that has a start sent again (late, fenced, old, no answer) did so without a look at its owner.

Change: order_start, by which all starts go, gives the run back as `owner_silent` if the owner's trust has ended; a start that went without an answer before is fenced by a stop first, as with every run that is given back.

--- a/hawthorntrack/coordination/target_orders.py
+++ b/hawthorntrack/coordination/target_orders.py
@@ -156,8 +156,11 @@
         }
 
     def order_start(self, session: TargetSession, run: Run) -> None:
-        """Send a start, with the number that the run has now."""
+        """Send a start, with the number that the run has now, if its owner is there."""
         now = self.clock()
+        if self.trusted_until.get(run.owner, 0.0) <= now:
+            self.abandon_start(session, run, "owner_silent")
+            return
         if len(self.numbers) > NUMBERS_KEPT:
             self.numbers = dict(list(self.numbers.items())[NUMBERS_KEPT // 2 :])
         self.numbers[run.name.task] = run.name.run
