Show that an order to start revives the trust in an owner that was away

An order to start returns a stamp and renews trust as a vouch does. A vouch after the end of trust has the owner's runs stopped, since it may have given them up; an order that a guard handles before its next tick, after standing still, does not:

assert [] == [RunName(task=..., run=1)]

Ruled out: with a vouch in place of the order the stop is sent (test_owner_that_is_back_after_its_trust_ran_out_finds_its_runs_stopped).

--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -563,6 +563,14 @@
     assert len(guard.orders(StopOrder)) == 1
 
 
+def test_order_of_an_owner_whose_trust_ran_out_finds_its_earlier_runs_stopped(running):
+    """Its new order must not make the guard trust it for what it gave up."""
+    guard, name = running
+    guard.time += TRUST_S + 0.5
+    guard.order_runs(job="b" * 16)
+    assert [stop.name for stop in guard.orders(StopOrder)] == [name]
+
+
 def test_broken_link_that_is_made_anew_costs_no_run(running):
     guard, name = running
     guard.tell(LinkDown(ENTRY.address))
