Renew the trust in an owner in one function, for orders as for vouches

Change: LeaseHolder.trust serves both. An order after the end of trust stops the owner's earlier runs before its new ones are looked at.

Before: test_order_of_an_owner_whose_trust_ran_out_finds_its_earlier_runs_stopped failed. After: it passes, with the tests of lease holder, dispatcher and decisions (177 tests).

--- a/hawthorntrack/coordination/leaseholder.py
+++ b/hawthorntrack/coordination/leaseholder.py
@@ -175,13 +175,8 @@
 
     @handles(Vouch)
     def renew_trust(self, vouch: Vouch, sender: Incarnation) -> None:
-        """Trust an entry instance for a while from the stamp it returns."""
-        until = vouch.stamp_ms / 1000 + leases.TRUST_S
-        known = self.trusted_until.get(sender.address, 0.0)
-        if known <= self.clock():
-            # The owner may have given these runs up already.
-            self.stop_runs_of(sender.address, "owner_silent")
-        self.trusted_until[sender.address] = max(known, until)
+        """Trust an entry instance on, and learn what it wants."""
+        self.trust(sender.address, vouch.stamp_ms)
         if vouch.wants_news:
             self.wanting_news.add(sender.address)
         else:
@@ -190,6 +185,14 @@
             self.zones_as_of = vouch.as_of
             self.zones_out = frozenset(vouch.zones_out)
 
+    def trust(self, owner: str, stamp_ms: int) -> None:
+        """Trust an owner for a while from the stamp it returns."""
+        known = self.trusted_until.get(owner, 0.0)
+        if known <= self.clock():
+            # The owner may have given these runs up already.
+            self.stop_runs_of(owner, "owner_silent")
+        self.trusted_until[owner] = max(known, stamp_ms / 1000 + leases.TRUST_S)
+
     @handles(StartRuns)
     def start_runs(self, order: StartRuns, sender: Incarnation) -> None:
         """Set room aside for runs and start them; refuse what cannot start."""
@@ -198,8 +201,7 @@
         taken: list[RunName] = []
         refused: dict[str, list[RunName]] = defaultdict(list)
         trusted = order.stamp_ms / 1000 + leases.TRUST_S
-        known = self.trusted_until.get(sender.address, 0.0)
-        self.trusted_until[sender.address] = max(known, trusted)
+        self.trust(sender.address, order.stamp_ms)
         standing = self.standing(session, now) if trusted > now else "stale_order"
         free = session.free if session is not None else None
         for run_order in order.runs:
