Show that a stop under way makes a guard take its target for unwell

The lease is over, nothing may renew it yet, and the new run is given back as though the target had failed:

assert ((RunName(...),), 'unwell') == ((RunName(...),), 'no_room')

It then takes nothing for 0.2 s, although the stop is answered within milliseconds, and tells the owner that it took the run after having given it back.

--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -4,7 +4,7 @@
 
 from hawthorntrack.coordination.leaseholder import LeaseHolder
 from hawthorntrack.coordination.leases import LEASE_S, STOP_S, TRUST_S, gone_by
-from hawthorntrack.coordination.target_orders import START_REPEATS
+from hawthorntrack.coordination.target_orders import NO_ROOM_PAUSE_S, START_REPEATS
 from hawthorntrack.protocol.dispatch import (
     CheckRuns,
     DropJob,
@@ -571,6 +571,22 @@
     assert [stop.name for stop in guard.orders(StopOrder)] == [name]
 
 
+def test_start_beside_an_unanswered_stop_waits_for_it_when_the_lease_is_over(running):
+    guard, _ = running
+    guard.time += TRUST_S + 0.5
+    guard.tell(Vouch(round(guard.time * 1000), 1, ()), ENTRY)
+    (name,) = guard.order_runs(job="b" * 16)
+    assert guard.orders(StartOrder) == []
+    (refused,) = guard.messages(RunsRefused)
+    assert (refused.runs, refused.reason) == ((name,), "no_room")
+    assert all(name not in news.runs for news in guard.messages(RunsTaken))
+    (stop,) = guard.orders(StopOrder)
+    guard.tell(StopReply(stop, "stopped", guard.clock_ms()))
+    guard.time += NO_ROOM_PAUSE_S
+    (name,) = guard.order_runs(job="c" * 16)
+    assert [start.name for start in guard.orders(StartOrder)] == [name]
+
+
 def test_broken_link_that_is_made_anew_costs_no_run(running):
     guard, name = running
     guard.tell(LinkDown(ENTRY.address))
