Have a start wait for stops under way when no lease is left

Change: it is given back as `no_room`, which has the target take nothing for 0.05 s; the order is not said to be taken.

Before: test_start_beside_an_unanswered_stop_waits_for_it_when_the_lease_is_over failed. After: it passes, with the tests of lease holder, dispatcher and decisions (178 tests).

--- a/hawthorntrack/coordination/leaseholder.py
+++ b/hawthorntrack/coordination/leaseholder.py
@@ -209,9 +209,10 @@
             if reason:
                 refused[reason].append(run_order.name)
                 continue
-            free = free.minus(run_order.need)
-            taken.append(run_order.name)
             self.begin_run(session, run_order, order, sender.address, now)
+            if run_order.name.task in session.runs:
+                free = free.minus(run_order.need)
+                taken.append(run_order.name)
         if taken:
             log_event(
                 "run:taken",
--- a/hawthorntrack/coordination/target_orders.py
+++ b/hawthorntrack/coordination/target_orders.py
@@ -167,7 +167,8 @@
         run.phase = STARTING
         lease_ms = self.lease(session, now)
         if session.lease_ends <= now:
-            self.unwell(session, run)
+            # What is being stopped still counts as running.
+            self.no_room(session, run)
             return
         self.calls.put(
             StartOrder(session.target, run.name, run.payload, lease_ms, session.token)
