--- a/hawthorntrack/coordination/target_lists.py
+++ b/hawthorntrack/coordination/target_lists.py
@@ -43,6 +43,11 @@
         Takes orders to the target.
     clock : callable
         Returns seconds, suspended time included.
+
+    Attributes
+    ----------
+    trusted_until : dict of str to float
+        For each owner of runs, when the trust in it ends.
     """
 
     def __init__(self, calls: Mailbox, clock: Clock) -> None:
--- a/hawthorntrack/coordination/tests/test_dispatcher.py
+++ b/hawthorntrack/coordination/tests/test_dispatcher.py
@@ -485,6 +485,21 @@
     assert reply.result() == Completed()
 
 
+def test_guard_is_vouched_for_again_only_after_it_was_told_which_runs_are_left(placed):
+    """The order to stop was lost with the link."""
+    entry, reply, _ = placed
+    entry.tell(LinkDown(ONE.address))
+    entry.tell(CallerLeft("a" * 16, reply))
+    entry.sent.clear()
+    entry.wait(0.2)
+    entry.pulse(ONE)
+    assert entry.messages(Vouch) == []
+    entry.link(ONE)
+    told = [body for to, body in entry.sent if to == ONE.address]
+    assert told[0] == CheckRuns(())
+    assert type(told[1]) is Vouch
+
+
 def test_restarted_guard_that_is_ready_has_none_of_the_earlier_runs(placed):
     entry, _, _ = placed
     entry.tell(LinkDown(ONE.address))
