Show that a stamp of an earlier boot is taken for a fresh one

An entry instance that turns to waiting between the guard's greeting and its first pulse vouches with the stamp of the earlier boot, and the guard trusts it until 5,000 s later:

From then on nothing but the end of the link stops that owner's runs: an owner that stands still or is cut off gives them up, its callers send again, and the guard lets them run on.

--- a/hawthorntrack/coordination/tests/test_dispatcher.py
+++ b/hawthorntrack/coordination/tests/test_dispatcher.py
@@ -605,3 +605,11 @@
     assert long.result() == Refused("draining", 1)
     assert not short.done()
     assert len(entry.starts()) == 2
+
+
+def test_guard_back_from_a_power_loss_is_not_vouched_for_by_its_earlier_clock(entry):
+    entry.link(ONE)
+    entry.messages(Vouch)
+    entry.tell(Hello("guard", "recife", "guard-1"), ONE._replace(nonce="later"))
+    entry.dispatcher.ask_for_news(True)
+    assert entry.messages(Vouch) == []
--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -785,3 +785,17 @@
     guard.answer_starts("old_run")
     (again,) = guard.answer_starts()
     assert again.name.run > 2
+
+
+def test_vouch_stamped_before_a_power_loss_renews_no_trust(running):
+    """The guard's clock may begin anew far behind the stamp."""
+    guard, _ = running
+    guard.tell(Vouch(round((guard.time + 5_000) * 1000), 1, ()), ENTRY)
+    guard.wait(TRUST_S + 0.01)
+    assert len(guard.orders(StopOrder)) == 1
+
+
+def test_order_stamped_before_a_power_loss_is_refused(guard):
+    guard.order_runs(age_s=-5_000)
+    assert [r.reason for r in guard.messages(RunsRefused)] == ["stale_order"]
+    assert guard.orders(StartOrder) == []
