Take no stamp of an earlier boot for a fresh one

Cause: a stamp is a time of one life of the guard's machine, but was kept and compared beyond that life, on both sides: the entry instance kept the stamp when a guard greeted it with another nonce, and the guard took a stamp ahead of its clock for a fresh one. The class of fault: a value that holds for one life, used in the next.

Ruled out: an order with such a stamp from an entry instance that has seen the new life's room, since that comes with a pulse and so with a stamp of the new life.

Change: GuardPeer.begin_life forgets all that holds for one life of a guard; leases.trust_end gives no trust for a stamp ahead of the clock.

--- a/hawthorntrack/coordination/leaseholder.py
+++ b/hawthorntrack/coordination/leaseholder.py
@@ -176,7 +176,7 @@
     @handles(Vouch)
     def renew_trust(self, vouch: Vouch, sender: Incarnation) -> None:
         """Trust an entry instance on, and learn what it wants."""
-        self.trust(sender.address, vouch.stamp_ms)
+        self.trust(sender.address, leases.trust_end(vouch.stamp_ms, self.clock()))
         if vouch.wants_news:
             self.wanting_news.add(sender.address)
         else:
@@ -185,13 +185,13 @@
             self.zones_as_of = vouch.as_of
             self.zones_out = frozenset(vouch.zones_out)
 
-    def trust(self, owner: str, stamp_ms: int) -> None:
-        """Trust an owner for a while from the stamp it returns."""
+    def trust(self, owner: str, until: float) -> None:
+        """Trust an owner until a time, unless it is trusted for longer."""
         known = self.trusted_until.get(owner, 0.0)
         if known <= self.clock():
             # The owner may have given these runs up already.
             self.stop_runs_of(owner, "owner_silent")
-        self.trusted_until[owner] = max(known, stamp_ms / 1000 + leases.TRUST_S)
+        self.trusted_until[owner] = max(known, until)
 
     @handles(StartRuns)
     def start_runs(self, order: StartRuns, sender: Incarnation) -> None:
@@ -200,8 +200,8 @@
         session = self.current()
         taken: list[RunName] = []
         refused: dict[str, list[RunName]] = defaultdict(list)
-        trusted = order.stamp_ms / 1000 + leases.TRUST_S
-        self.trust(sender.address, order.stamp_ms)
+        trusted = leases.trust_end(order.stamp_ms, now)
+        self.trust(sender.address, trusted)
         standing = self.standing(session, now) if trusted > now else "stale_order"
         free = session.free if session is not None else None
         for run_order in order.runs:
--- a/hawthorntrack/coordination/leases.py
+++ b/hawthorntrack/coordination/leases.py
@@ -71,6 +71,23 @@
     return lapsed_by(last_pulse + TRUST_S + OUTLASTS_S)
 
 
+def trust_end(stamp_ms: int, now: float) -> float:
+    """Return until when an owner is trusted that returns a stamp of our clock.
+
+    Explanation
+    -----------
+    The clock begins anew when the machine loses power, so a stamp that is ahead of it
+    was given before that and is good for nothing.
+
+    Examples
+    --------
+    >>> trust_end(9_900, 10.0), trust_end(64_564_000, 10.0)
+    (10.5, 0.0)
+    """
+    ahead = stamp_ms > round(now * 1000)
+    return 0.0 if ahead else stamp_ms / 1000 + TRUST_S
+
+
 def untrusted(trusted_until: Mapping[str, float], now: float) -> set[str]:
     """Return the owners whose trust has run out."""
     return {owner for owner, until in trusted_until.items() if until <= now}
--- a/hawthorntrack/coordination/peers.py
+++ b/hawthorntrack/coordination/peers.py
@@ -46,6 +46,14 @@
         self.vouched_at = 0.0
         self.vouched_as_of = -1
 
+    def begin_life(self, nonce: str) -> None:
+        """Forget what holds for one life of the guard only, its clock among it."""
+        self.nonce = nonce
+        self.room = ABSENT
+        self.stamp_ms = 0
+        self.vouched_at = 0.0
+        self.vouched_as_of = -1
+
     def take_room(self, room: TargetRoom) -> None:
         """Take a report of room in, unless a newer one is known."""
         if room.sequence > self.room.sequence:
--- a/hawthorntrack/coordination/run_placing.py
+++ b/hawthorntrack/coordination/run_placing.py
@@ -12,7 +12,7 @@
     waiting_orders,
 )
 from hawthorntrack.coordination.packing import choose_place
-from hawthorntrack.coordination.peers import ABSENT, GuardPeer
+from hawthorntrack.coordination.peers import GuardPeer
 from hawthorntrack.coordination.progress import PAUSED, PLACED, WAITING, Job, Task
 from hawthorntrack.coordination.waiting import (
     FairShares,
@@ -250,8 +250,7 @@
         peer.unconfirmed.clear()
         log_event("guard:linked", guard=str(sender), runs=len(peer.runs))
         if peer.nonce != sender.nonce:
-            peer.nonce = sender.nonce
-            peer.room = ABSENT
+            peer.begin_life(sender.nonce)
         else:
             self.send(sender.address, CheckRuns(tuple(peer.runs.values())))
 
