Show that a task is placed again while its earlier run may be at work

A guard that still has a run of an earlier submission refuses the task at once and stops that run; the owner places the task anywhere 60 ms later, whether the stop was answered or not.

Nine tests, all of which fail: the refusal comes before the run is over (RunsRefused where [] is expected), also from a target that does not answer and for a held-up order; nothing is noted of who waits; a check tells one owner how another's run ended; the dispatcher tries again by a timer.

Replaced, each by a stricter one: test_another_owner_that_asks_for_a_running_task_gets_it_stopped_first asked for a refusal at once, which is the fault; the new test wants the stop at once and the refusal only after a list shows the run gone. test_task_that_runs_for_another_submission_is_tried_again_shortly asked for the timer; the new one wants none, and the number above the one that the guard has used.

--- a/hawthorntrack/coordination/tests/test_dispatcher.py
+++ b/hawthorntrack/coordination/tests/test_dispatcher.py
@@ -527,15 +527,13 @@
     assert reply.result() == Completed()
 
 
-def test_task_that_runs_for_another_submission_is_tried_again_shortly(placed):
+def test_task_that_ran_for_another_submission_is_placed_without_a_timer(placed):
+    """The refusal says that the earlier run is over."""
     entry, _, runs = placed
-    entry.refuse(ONE, runs, "still_running")
+    entry.refuse(ONE, runs, "still_running", number=3)
     entry.pulse(ONE)
-    assert entry.starts() == []
-    for message in entry.posted:
-        entry.tell(message)
-    entry.pulse(ONE)
-    assert len(entry.starts()) == 2
+    assert entry.posted == []
+    assert [run.run for _, run in entry.starts()] == [4, 4]
 
 
 def test_run_that_another_submission_took_over_ends_the_job(placed):
--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -611,13 +611,111 @@
     assert len(guard.orders(StopOrder)) == 1
 
 
-def test_another_owner_that_asks_for_a_running_task_gets_it_stopped_first(running):
+def ask_for_running_task(guard, name, age_s=0.0):
+    """Have a second entry instance order a task that runs for the first."""
+    stamp_ms = round((guard.time - age_s) * 1000)
+    runs = (RunOrder(name, NEED, 1),)
+    guard.tell(StartRuns(stamp_ms, "spec", 900, runs), OTHER)
+
+
+def finish_stop(guard, stop):
+    """Answer a stop, and show by the lists that its run is gone."""
+    guard.time += 0.01
+    guard.tell(StopReply(stop, "stopped", 5_000))
+    for _ in range(2):
+        guard.time += 0.01
+        guard.answer_holds()
+
+
+def told(guard, kind, address):
+    """Return the messages of a type that one entry instance was sent."""
+    return [b for to, b in guard.sent if to == address and type(b) is kind]
+
+
+def test_task_at_work_is_not_given_back_to_another_owner_before_it_is_over(running):
     guard, name = running
-    other = Incarnation("entry:2", "f1")
-    order = StartRuns(round(guard.time * 1000), "spec", 900, (RunOrder(name, NEED, 1),))
-    guard.tell(order, other)
-    assert [r.reason for r in guard.messages(RunsRefused)] == ["still_running"]
-    assert len(guard.orders(StopOrder)) == 1
+    ask_for_running_task(guard, name)
+    (stop,) = guard.orders(StopOrder)
+    guard.tell(StopReply(stop, "unanswered"))
+    (stop,) = guard.orders(StopOrder)
+    guard.time += 0.01
+    guard.answer_holds([RunStatus(name, 2)])
+    assert told(guard, RunsRefused, OTHER.address) == []
+    finish_stop(guard, stop)
+    (refused,) = told(guard, RunsRefused, OTHER.address)
+    assert (refused.reason, refused.runs) == ("still_running", (name,))
+    assert refused.numbers == (name.run,)
+    (ended,) = told(guard, RunsEnded, ENTRY.address)
+    assert [e.how for e in ended.endings] == ["superseded"]
+
+
+def test_task_on_a_silent_target_is_given_back_to_another_owner_once_lapsed(running):
+    """No target that is unwell makes a second run safe."""
+    guard, name = running
+    for _ in range(2):
+        guard.answer_holds(outcome="unanswered")
+        guard.time += 0.01
+    ask_for_running_task(guard, name)
+    assert told(guard, RunsRefused, OTHER.address) == []
+    guard.wait(1.2)
+    (refused,) = told(guard, RunsRefused, OTHER.address)
+    assert refused.reason == "still_running"
+
+
+def test_order_held_up_on_its_way_stops_no_run_and_starts_none_beside_it(running):
+    guard, name = running
+    ask_for_running_task(guard, name, age_s=TRUST_S + 0.01)
+    assert guard.orders(StopOrder) == []
+    assert told(guard, RunsRefused, OTHER.address) == []
+    guard.answer_holds(ended=[RunEnd(1, name, "done")])
+    assert len(told(guard, RunsEnded, ENTRY.address)) == 1
+
+
+def test_task_that_ended_before_its_stop_is_done_for_all_who_asked(running):
+    guard, name = running
+    ask_for_running_task(guard, name)
+    guard.answer_holds(ended=[RunEnd(1, name, "done")])
+    for address in (ENTRY.address, OTHER.address):
+        (ended,) = told(guard, RunsEnded, address)
+        assert [(e.name, e.how) for e in ended.endings] == [(name, "done")]
+
+
+def test_check_finds_an_order_that_waits_for_an_earlier_run(running):
+    guard, name = running
+    ask_for_running_task(guard, name)
+    guard.tell(CheckRuns((name,)), OTHER)
+    assert told(guard, RunsEnded, OTHER.address) == []
+
+
+def test_check_is_not_told_how_another_owners_run_ended(running):
+    guard, name = running
+    ask_for_running_task(guard, name)
+    (stop,) = guard.orders(StopOrder)
+    finish_stop(guard, stop)
+    guard.tell(CheckRuns((name,)), OTHER)
+    (ended,) = told(guard, RunsEnded, OTHER.address)
+    assert [e.how for e in ended.endings] == ["lost"]
+
+
+def test_cancelled_job_ends_an_order_that_waits_for_an_earlier_run(running):
+    guard, name = running
+    ask_for_running_task(guard, name)
+    guard.tell(DropJob(name.task.job), Incarnation("entry:3", "g1"))
+    (ended,) = told(guard, RunsEnded, OTHER.address)
+    assert [e.how for e in ended.endings] == ["cancelled"]
+    (stop,) = guard.orders(StopOrder)
+    finish_stop(guard, stop)
+    assert told(guard, RunsRefused, OTHER.address) == []
+
+
+def test_order_of_an_owners_earlier_life_is_not_answered_to_the_next(running):
+    guard, name = running
+    ask_for_running_task(guard, name)
+    guard.tell(Hello("entry", "olinda", "entry-2"), OTHER)
+    guard.tell(Hello("entry", "olinda", "entry-2"), OTHER._replace(nonce="e9"))
+    (stop,) = guard.orders(StopOrder)
+    finish_stop(guard, stop)
+    assert told(guard, RunsRefused, OTHER.address) == []
 
 
 def test_check_reports_ends_that_were_told_while_the_link_was_down(running):
