Refuse a task that still runs only once the earlier run is over

Callers saw a task doubled: two runs of it at work at once, on two targets.

Cause: a guard that still had a run of an earlier submission answered still_running at once and ordered that run stopped; the owner placed the task anywhere 60 ms later. Where the stop was lost, or carried out late, the earlier run was still at work by then.

Ruled out, by reading: a waiting order that nobody answers (every way by which a run leaves a session passes through finish, or through abandon_start, which no run that is being stopped reaches); room counted twice at the owner for longer than the stop takes (refused or ended, it leaves unconfirmed).

Change: the guard notes who waits on a run (Successor) and answers in finish, by an end, a list after the stop, or the lapse of the lease: done where the run ended so, otherwise still_running. It looks for the earlier run before it looks at anything else, since a refusal as unwell, draining, zone_out or stale_order sends the task elsewhere just as well; a stale order stops nothing. A cancelled job's waiting orders end at once, those of an owner's earlier life are dropped, a check counts them as here. What is settled is kept by owner, so that a check tells nobody of another owner's run. PAUSED, Retake and RETAKE_S go.

--- a/hawthorntrack/coordination/leaseholder.py
+++ b/hawthorntrack/coordination/leaseholder.py
@@ -2,7 +2,8 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Iterable
-from typing import Any
+from itertools import chain
+from typing import Any, NamedTuple
 
 from hawthorntrack.coordination import leases
 from hawthorntrack.coordination.sessions import (
@@ -45,6 +46,13 @@
     """Tells the lease holder to report its room."""
 
 
+class Successor(NamedTuple):
+    """An order that waits until an earlier run of its task is over."""
+
+    name: RunName
+    owner: str
+
+
 class LeaseHolder(TargetOrders):
     """Owns the runs on the targets beside this guard.
 
@@ -79,7 +87,8 @@
         self.entries: dict[str, str] = {}
         self.wanting_news: set[str] = set()
         self.told_standing = ""
-        self.settled: dict[TaskName, tuple[float, Ending]] = {}
+        self.settled: dict[tuple[str, TaskName], tuple[float, Ending]] = {}
+        self.successors: dict[TaskName, list[Successor]] = {}
         self.zones_out: frozenset[str] = frozenset()
         self.zones_as_of = 0
         self.sequence = 0
@@ -156,6 +165,7 @@
         if known is not None and known != sender.nonce:
             self.trusted_until.pop(sender.address, None)
             self.stop_runs_of(sender.address, "owner_restarted")
+            self.drop_successors_of(sender.address)
         self.entries[sender.address] = sender.nonce
         log_event("entry:linked", entry=str(sender))
         self.send(sender.address, Pulse(int(self.clock() * 1000), self.room()))
@@ -205,6 +215,11 @@
         standing = self.standing(session, now) if trusted > now else "stale_order"
         free = session.free if session is not None else None
         for run_order in order.runs:
+            earlier = self.find_run(run_order.name.task)
+            if earlier is not None:
+                successor = Successor(run_order.name, sender.address)
+                self.add_successor(successor, *earlier, standing)
+                continue
             reason = self.why_not(run_order, session, standing, free)
             if reason:
                 refused[reason].append(run_order.name)
@@ -235,14 +250,47 @@
             return standing
         if session.state.zone in self.zones_out:
             return "zone_out"
-        for other in self.sessions.values():
-            earlier = other.runs.get(order.name.task)
-            if earlier is not None:
-                # Its caller sent the job again elsewhere, so nobody waits for it.
-                self.stop(other, earlier, "superseded")
-                return "still_running"
         return "" if order.need.fits(free) else "no_room"
 
+    def find_run(self, task: TaskName) -> tuple[TargetSession, Run] | None:
+        """Return a task's run that is not over, and the life of the target it is at."""
+        found = (
+            (session, session.runs[task])
+            for session in self.sessions.values()
+            if task in session.runs
+        )
+        return next(found, None)
+
+    def add_successor(
+        self, successor: Successor, session: TargetSession, earlier: Run, standing: str
+    ) -> None:
+        """Have an order wait until an earlier run of its task is over.
+
+        Explanation
+        -----------
+        Its owner places the task elsewhere once it is refused. An order that was held
+        up stops nothing: the earlier run may be of a later submission.
+        """
+        waiting = self.successors.setdefault(earlier.name.task, [])
+        if successor not in waiting:
+            waiting.append(successor)
+        log_event(
+            "run:awaited",
+            **self.particulars(session, earlier),
+            phase=earlier.phase,
+            by=successor.owner,
+        )
+        if standing != "stale_order":
+            # The caller sent the job again, so nobody waits for the earlier run.
+            self.stop(session, earlier, "superseded")
+
+    def drop_successors_of(self, owner: str) -> None:
+        """Forget the waiting orders of an entry instance's earlier life."""
+        self.successors = {
+            task: [each for each in waiting if each.owner != owner]
+            for task, waiting in self.successors.items()
+        }
+
     def begin_run(
         self,
         session: TargetSession,
@@ -292,6 +340,10 @@
     @handles(DropJob)
     def drop_job(self, order: DropJob, sender: Incarnation) -> None:
         """Stop all runs of a job that its caller cancelled."""
+        dropped = [task for task in self.successors if task.job == order.job]
+        for successor in chain.from_iterable(map(self.successors.pop, dropped)):
+            ending = Ending(successor.name, successor.name.run, "cancelled")
+            self.send(successor.owner, RunsEnded((ending,), self.room()))
         for session in self.sessions.values():
             for run in list(session.runs.values()):
                 if run.name.task.job == order.job:
@@ -309,17 +361,27 @@
             for session in self.sessions.values()
             for run in session.runs.values()
             if run.owner == sender.address
+        } | {
+            successor.name
+            for waiting in self.successors.values()
+            for successor in waiting
+            if successor.owner == sender.address
         }
         endings = [
-            self.settled[name.task][1]
-            if name.task in self.settled and self.settled[name.task][1].name == name
-            else Ending(name, name.run, "lost")
+            self.ending_of(sender.address, name)
             for name in order.runs
             if name not in here
         ]
         if endings:
             self.send(sender.address, RunsEnded(tuple(endings), self.room()))
 
+    def ending_of(self, owner: str, name: RunName) -> Ending:
+        """Return how a run that is not here any more has ended."""
+        _, ending = self.settled.get((owner, name.task), (0.0, None))
+        if ending is not None and ending.name == name:
+            return ending
+        return Ending(name, name.run, "lost")
+
     def stop_runs_of(self, owner: str, why: str) -> None:
         """Stop all runs of an entry instance."""
         for session in self.sessions.values():
@@ -331,6 +393,7 @@
         """Report ends to the runs' owners."""
         now = self.clock()
         by_owner: dict[str, list[Ending]] = defaultdict(list)
+        not_begun: dict[str, list[RunName]] = defaultdict(list)
         for run, how in ends:
             session.runs.pop(run.name.task, None)
             if how == "stopped" and run.why:
@@ -342,10 +405,18 @@
             if how == "done":
                 self.measure(session, run, now)
             ending = Ending(run.order.name, run.name.run, how)
-            self.settled[run.name.task] = (now, ending)
             by_owner[run.owner].append(ending)
+            for name, owner in self.successors.pop(run.name.task, ()):
+                if how == "done":
+                    by_owner[owner].append(ending._replace(name=name))
+                else:
+                    not_begun[owner].append(name)
         for owner, endings in by_owner.items():
+            for ending in endings:
+                self.settled[owner, ending.name.task] = (now, ending)
             self.send(owner, RunsEnded(tuple(endings), self.room()))
+        for owner, names in not_begun.items():
+            self.refuse(owner, names, "still_running")
         if ends:
             self.room_changed()
             self.report_drained()
@@ -364,8 +435,8 @@
             self.give_up_on_silent(session, now)
             self.hold(session)
         self.settled = {
-            task: (at, ending)
-            for task, (at, ending) in self.settled.items()
+            key: (at, ending)
+            for key, (at, ending) in self.settled.items()
             if at + SETTLED_KEPT_S > now
         }
         if now >= self.next_pulse:
--- a/hawthorntrack/coordination/progress.py
+++ b/hawthorntrack/coordination/progress.py
@@ -8,7 +8,6 @@
 
 BLOCKED = "blocked"  # steps before it are not done
 WAITING = "waiting"
-PAUSED = "paused"  # waits out the stop of an earlier run
 PLACED = "placed"
 DONE = "done"
 
--- a/hawthorntrack/coordination/run_placing.py
+++ b/hawthorntrack/coordination/run_placing.py
@@ -4,7 +4,7 @@
 from collections import defaultdict
 from collections.abc import Callable
 from statistics import median
-from typing import Any, NamedTuple
+from typing import Any
 
 from hawthorntrack.coordination.ordering import (
     USUAL_ORDER,
@@ -13,7 +13,7 @@
 )
 from hawthorntrack.coordination.packing import choose_place
 from hawthorntrack.coordination.peers import GuardPeer
-from hawthorntrack.coordination.progress import PAUSED, PLACED, WAITING, Job, Task
+from hawthorntrack.coordination.progress import PLACED, WAITING, Job, Task
 from hawthorntrack.coordination.waiting import (
     FairShares,
     slowest_taken,
@@ -40,7 +40,7 @@
     WAIT_SECONDS,
     labelled,
 )
-from hawthorntrack.state.plans import RunName, TaskName
+from hawthorntrack.state.plans import RunName
 from hawthorntrack.state.values import Incarnation
 from hawthorntrack.state.verdicts import (
     Abandoned,
@@ -51,16 +51,9 @@
 
 VOUCH_S = 0.15  # below the interval of pulses, so that each of those is answered
 NEWS_LINGER_S = 0.5  # two pulses and a half: jobs wait in waves
-RETAKE_S = 0.06  # for a guard to stop the run of an earlier submission
 JUDGED_ENDS = {"failed"}
 
 
-class Retake(NamedTuple):
-    """Tells the dispatcher that a task may be placed again."""
-
-    task: TaskName
-
-
 class RunPlacing(Actor):
     """Owns what an entry instance knows of guards and of the runs there.
 
@@ -211,27 +204,16 @@
             return None
         return (job, task) if task.run == run else None
 
-    def give_back(self, job: Job, task: Task, wait_s: float = 0.0) -> None:
+    def give_back(self, job: Job, task: Task) -> None:
         """Have a task placed again, unless its job is to start nothing more."""
         if self.jobs.get(job.plan.key) is not job:
             return
         if job.suspended:
             self.end(job, Abandoned("stood_still"))
             return
-        task.phase = PAUSED if wait_s else WAITING
-        if wait_s:
-            self.later(wait_s, Retake(task.name))
+        task.phase = WAITING
         self.placing_due = True
 
-    @handles(Retake)
-    def retake(self, order: Retake, sender: Incarnation) -> None:
-        """Let a paused task wait for a place again."""
-        job = self.jobs.get(order.task.job)
-        task = job.tasks.get(order.task) if job else None
-        if task is not None and task.phase == PAUSED:
-            task.phase = WAITING
-            self.placing_due = True
-
     def peer(self, sender: Incarnation) -> GuardPeer:
         """Return what is known of a guard, with the time it was heard."""
         peer = self.peers.get(sender.address)
@@ -345,8 +327,7 @@
             if news.reason == "invalid":
                 self.end(job, JobFailed("target_refused_task"))
             else:
-                busy = news.reason == "still_running"
-                self.give_back(job, task, RETAKE_S if busy else 0.0)
+                self.give_back(job, task)
         self.placing_due = True
 
     @handles(RunsEnded)
