Show that an answer to an earlier order gives a newer run back

A refused task is sent again under the same number, and a job that is handed in again begins at number 1 anew. A refusal or an end that was on its way then names the new run as well: the owner believes it over and places the task a third time, beside a run that has just begun.

--- a/hawthorntrack/coordination/tests/test_dispatcher.py
+++ b/hawthorntrack/coordination/tests/test_dispatcher.py
@@ -611,3 +611,41 @@
     entry.tell(Hello("guard", "recife", "guard-1"), ONE._replace(nonce="later"))
     entry.dispatcher.ask_for_news(True)
     assert entry.messages(Vouch) == []
+
+
+def test_check_answered_after_a_refusal_places_no_second_run(entry):
+    """Both tell of the first order; the task has been sent there again since."""
+    reply = entry.submit(steps=(StepSpec(1, NEED, 0.4),))
+    ((_, run),) = entry.starts()
+    entry.tell(LinkDown(ONE.address))
+    entry.link(ONE)
+    entry.refuse(ONE, [run], "no_room")
+    entry.pulse(ONE)
+    assert len(entry.starts()) == 1
+    entry.end(ONE, run, "lost")
+    entry.pulse(ONE)
+    assert entry.starts() == []
+    assert not reply.done()
+
+
+@pytest.mark.parametrize("how", ["unwanted", "lapsed", "lost"])
+def test_end_of_an_earlier_submissions_run_places_no_second_run(placed, how):
+    """It was on its way while the job's next submission was sent to that guard."""
+    entry, reply, runs = placed
+    entry.tell(CallerLeft("a" * 16, reply))
+    entry.submit()
+    assert len(entry.starts()) == 2
+    for run in runs:
+        entry.end(ONE, run, how)
+    entry.pulse(ONE)
+    assert entry.starts() == []
+
+
+def test_refusal_of_an_earlier_submissions_run_places_no_second_run(placed):
+    entry, reply, runs = placed
+    entry.tell(CallerLeft("a" * 16, reply))
+    entry.submit()
+    assert len(entry.starts()) == 2
+    entry.refuse(ONE, runs, "no_room")
+    entry.pulse(ONE)
+    assert entry.starts() == []
--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -897,3 +897,12 @@
     guard.order_runs(age_s=-5_000)
     assert [r.reason for r in guard.messages(RunsRefused)] == ["stale_order"]
     assert guard.orders(StartOrder) == []
+
+
+def test_end_of_an_owners_earlier_life_is_not_told_to_the_next(running):
+    """The next life may have ordered a run of that name meanwhile."""
+    guard, _ = running
+    guard.tell(Hello("entry", "recife", "entry-1"), ENTRY._replace(nonce="e9"))
+    (stop,) = guard.orders(StopOrder)
+    finish_stop(guard, stop)
+    assert guard.messages(RunsEnded) == []
