Give no two orders of a task one name

Callers saw a task doubled: a guard's answer to an order made the owner give up the run that a later order had just begun.

Cause: a refused task kept its number, and a job that was handed in again began at number 1, so orders to one guard shared a name. What was on its way for the first (the answer to a check, a refusal, the end of the earlier submission's run) was taken for the second. The same held between two lives of an entry instance.

Ruled out, by reading: messages of a link that has been replaced (the bus aborts the older link when it takes the newer one); an order that a guard answers twice by itself (it refuses, or takes and ends).

Change: unplace raises the number, so every placing has its own; the dispatcher keeps the highest number of a job that had begun for 5 s after its end and a next submission goes on from there; a guard tells nobody of the runs of an owner's earlier life.

--- a/hawthorntrack/coordination/dispatcher.py
+++ b/hawthorntrack/coordination/dispatcher.py
@@ -2,7 +2,8 @@
 
 from collections import defaultdict
 from collections.abc import Callable
-from typing import Any
+from itertools import takewhile
+from typing import Any, NamedTuple
 
 from hawthorntrack.coordination.packing import suits
 from hawthorntrack.coordination.peers import SILENT_S
@@ -57,9 +58,17 @@
 CONFIGURATION_LOOK_S = 0.02
 DRAIN_OPEN_S = 2.6  # the balancer needs two misses, a second apart, to notice
 ANSWERS_WINDOW_S = 2.0
+NUMBERS_KEPT_S = 5.0  # as long as a guard tells an ending again
 CHAIN_WEIGHT = 0.05  # of one job in the mean of its queue: the last twenty or so
 
 
+class NumbersUsed(NamedTuple):
+    """When a job ended, and the highest number that an order of its tasks had."""
+
+    at: float
+    highest: int
+
+
 class Dispatcher(RunPlacing):
     """Owns the jobs of one entry instance.
 
@@ -100,6 +109,7 @@
         self.on_ready = on_ready
         self.index = QueueIndex(self.directives.catalogue)
         self.answered: list[float] = []
+        self.numbers_used: dict[str, NumbersUsed] = {}
         self.began_at = clock()
         self.handled_at = 0.0
         self.drain_s = drain_s
@@ -152,6 +162,9 @@
             self.refuse(order, verdict)
             return
         job = Job(order.plan, queue, order.reply, now, order.deadline_s)
+        earlier = self.numbers_used.get(order.plan.key)
+        if earlier is not None:
+            job.raise_numbers(earlier.highest)
         self.jobs[order.plan.key] = job
         usual = self.usual_chain_s.setdefault(queue.name, job.chain_s)
         self.usual_chain_s[queue.name] = usual + CHAIN_WEIGHT * (job.chain_s - usual)
@@ -260,6 +273,10 @@
         name = type(verdict).__name__.lower()
         reason = getattr(verdict, "reason", "")
         self.jobs.pop(job.plan.key, None)
+        self.numbers_used.pop(job.plan.key, None)
+        if job.begun:
+            highest = max(task.number for task in job.tasks.values())
+            self.numbers_used[job.plan.key] = NumbersUsed(now, highest)
         stops: dict[str, list[RunName]] = defaultdict(list)
         for task in job.tasks.values():
             if task.phase == PLACED:
@@ -341,9 +358,16 @@
             if not peer.linked and peer.runs and now > peer.gone_by():
                 self.give_up_runs(peer)
         self.answered = [at for at in self.answered if at > now - ANSWERS_WINDOW_S]
+        for key in self.outdated_numbers(now - NUMBERS_KEPT_S):
+            del self.numbers_used[key]
         self.report_ready()
         self.report_drained()
 
+    def outdated_numbers(self, limit: float) -> list[str]:
+        """Return the jobs that ended by a time; they stand in order of their end."""
+        used = self.numbers_used
+        return list(takewhile(lambda key: used[key].at <= limit, used))
+
     def count_unbegun(self) -> int:
         """Return how many jobs wait for their first task."""
         return sum(not job.begun for job in self.jobs.values())
--- a/hawthorntrack/coordination/leaseholder.py
+++ b/hawthorntrack/coordination/leaseholder.py
@@ -165,7 +165,7 @@
         if known is not None and known != sender.nonce:
             self.trusted_until.pop(sender.address, None)
             self.stop_runs_of(sender.address, "owner_restarted")
-            self.drop_successors_of(sender.address)
+            self.disown(sender.address)
         self.entries[sender.address] = sender.nonce
         log_event("entry:linked", entry=str(sender))
         self.send(sender.address, Pulse(int(self.clock() * 1000), self.room()))
@@ -284,8 +284,12 @@
             # The caller sent the job again, so nobody waits for the earlier run.
             self.stop(session, earlier, "superseded")
 
-    def drop_successors_of(self, owner: str) -> None:
-        """Forget the waiting orders of an entry instance's earlier life."""
+    def disown(self, owner: str) -> None:
+        """Tell nobody any more of the orders of an entry instance's earlier life."""
+        for session in self.sessions.values():
+            for run in session.runs.values():
+                if run.owner == owner:
+                    run.owner = ""
         self.successors = {
             task: [each for each in waiting if each.owner != owner]
             for task, waiting in self.successors.items()
@@ -405,7 +409,8 @@
             if how == "done":
                 self.measure(session, run, now)
             ending = Ending(run.order.name, run.name.run, how)
-            by_owner[run.owner].append(ending)
+            if run.owner:
+                by_owner[run.owner].append(ending)
             for name, owner in self.successors.pop(run.name.task, ()):
                 if how == "done":
                     by_owner[owner].append(ending._replace(name=name))
--- a/hawthorntrack/coordination/progress.py
+++ b/hawthorntrack/coordination/progress.py
@@ -128,6 +128,11 @@
             if task.phase == BLOCKED and task.name.step in open_steps:
                 task.phase = WAITING
 
+    def raise_numbers(self, used: int) -> None:
+        """Number the runs above those of an earlier submission."""
+        for task in self.tasks.values():
+            task.number = used + 1
+
     def waiting(self) -> list[Task]:
         """Return the tasks that wait for a place."""
         return [task for task in self.tasks.values() if task.phase == WAITING]
--- a/hawthorntrack/coordination/run_placing.py
+++ b/hawthorntrack/coordination/run_placing.py
@@ -298,7 +298,7 @@
             if (found := self.task_at(peer, run)) and found[1].guard_life != peer.nonce
         ]
         for job, task in lost:
-            self.unplace(peer, task)
+            self.unplace(peer, task, task.number)
             labelled(RETRIES, "guard_restarted").inc()
             self.give_back(job, task)
 
@@ -321,9 +321,8 @@
             if found is None:
                 continue
             job, task = found
-            self.unplace(peer, task)
+            self.unplace(peer, task, number)
             labelled(RETRIES, news.reason).inc()
-            task.number = max(task.number, number + 1)
             if news.reason == "invalid":
                 self.end(job, JobFailed("target_refused_task"))
             else:
@@ -339,12 +338,19 @@
             peer.unconfirmed.pop(ending.name, None)
             found = self.task_at(peer, ending.name)
             if found is not None:
-                self.unplace(peer, found[1])
+                self.unplace(peer, found[1], ending.number)
                 self.task_ended(*found, ending, peer.address)
         self.placing_due = True
 
-    def unplace(self, peer: GuardPeer, task: Task) -> None:
-        """Note that nothing of a task is at a guard any more."""
+    def unplace(self, peer: GuardPeer, task: Task, number: int) -> None:
+        """Note that nothing of a task is at a guard, which has used a number for it.
+
+        Explanation
+        -----------
+        No two orders of a task have one name, so that what a guard tells of an earlier
+        one is not taken for the next.
+        """
+        task.number = max(task.number, number) + 1
         peer.runs.pop(task.name, None)
         task.phase, task.guard = WAITING, ""
 
@@ -365,7 +371,6 @@
             guard=guard,
             failures=task.failures,
         )
-        task.number = max(task.number, ending.number) + 1
         if ending.how in ("superseded", "cancelled"):
             self.end(job, Abandoned(ending.how))
             return
@@ -388,6 +393,5 @@
             found = self.task_at(peer, run)
             if found is not None:
                 labelled(RETRIES, "guard_silent").inc()
-                found[1].number += 1
-                self.unplace(peer, found[1])
+                self.unplace(peer, found[1], run.run)
                 self.give_back(*found)
--- a/hawthorntrack/coordination/sessions.py
+++ b/hawthorntrack/coordination/sessions.py
@@ -24,7 +24,8 @@
     name : RunName
         With the number it was started under.
     owner : str
-        Address of the entry instance that wants it.
+        Address of the entry instance that wants it; empty once that life of it is
+        over.
     useless_at : float
         When its caller gives up, in seconds of the guard's clock.
     """
--- a/hawthorntrack/coordination/tests/test_dispatcher.py
+++ b/hawthorntrack/coordination/tests/test_dispatcher.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from hawthorntrack.coordination.dispatcher import DRAIN_OPEN_S, STARTING_S, Dispatcher
+from hawthorntrack.coordination.dispatcher import (
+    DRAIN_OPEN_S,
+    NUMBERS_KEPT_S,
+    STARTING_S,
+    Dispatcher,
+)
 from hawthorntrack.coordination.leases import gone_by
 from hawthorntrack.coordination.peers import SILENT_S
 from hawthorntrack.protocol.dispatch import (
@@ -649,3 +654,10 @@
     entry.refuse(ONE, runs, "no_room")
     entry.pulse(ONE)
     assert entry.starts() == []
+
+
+def test_numbers_of_ended_jobs_are_forgotten(placed):
+    entry, reply, _ = placed
+    entry.tell(CallerLeft("a" * 16, reply))
+    entry.wait(NUMBERS_KEPT_S + 0.1)
+    assert entry.dispatcher.numbers_used == {}
