Show that a restarted guard's readiness is taken for proof of another target

A guard's new life reports ready once the lists of the target that takes new runs show none of an earlier guard. The owner takes that as proof that its runs there are over. If the guard had a second target, draining beside the first, the runs on that one go on until their lease ends.

The test fails: both tasks are placed again at once.

--- a/hawthorntrack/coordination/tests/test_dispatcher.py
+++ b/hawthorntrack/coordination/tests/test_dispatcher.py
@@ -10,7 +10,7 @@
     STARTING_S,
     Dispatcher,
 )
-from hawthorntrack.coordination.leases import gone_by
+from hawthorntrack.coordination.leases import gone_by, lapsed_by
 from hawthorntrack.coordination.peers import SILENT_S
 from hawthorntrack.protocol.dispatch import (
     CheckRuns,
@@ -105,13 +105,21 @@
             self.time += 0.02
             self.tell(Tick())
 
-    def pulse(self, guard, free=ROOM, slowness=1.0, standing="ready", zone="recife"):
+    def pulse(
+        self,
+        guard,
+        free=ROOM,
+        slowness=1.0,
+        standing="ready",
+        zone="recife",
+        target="",
+    ):
         self.sequence += 1
         room = TargetRoom(
             standing,
             "visits",
             zone,
-            f"t-{guard.address}",
+            target or f"t-{guard.address}",
             ("a", "r1"),
             ROOM,
             free,
@@ -661,3 +669,20 @@
     entry.tell(CallerLeft("a" * 16, reply))
     entry.wait(NUMBERS_KEPT_S + 0.1)
     assert entry.dispatcher.numbers_used == {}
+
+
+def test_restarted_guard_with_another_target_proves_nothing_of_the_first(placed):
+    """The first target drains beside it, and still runs what it was told to."""
+    entry, _, _ = placed
+    entry.tell(LinkDown(ONE.address))
+    reborn = ONE._replace(nonce="g9")
+    entry.link(reborn, target="t-new")
+    assert entry.starts() == []
+    linked_at = entry.time
+    while entry.time < lapsed_by(linked_at) - 0.1:
+        entry.wait(0.1)
+        entry.pulse(reborn, target="t-new")
+        assert entry.starts() == []
+    entry.wait(0.2)
+    entry.pulse(reborn, target="t-new")
+    assert len(entry.starts()) == 2
