Wait for the lease of a restarted guard's other target before placing again

Cause: forget_earlier_life took ready for proof that nothing of the guard's earlier life is left. It holds for the target that the guard reports; a second one that drains beside it is not known to the new life before its next heartbeat, and its runs go on under the lease.

Ruled out, by reading: a start of the guard's earlier life that is carried out late at the target reported. The new life is ready after a list under its own token, which is higher, or was raised until the target took it; only an order with a token that the target has never seen could pass, which needs a clock set back and a target restarted as well.

Change: a task remembers the target it was placed on. It is placed again once the guard is ready with that target, or after the lease that the earlier life can have left, counted from the new life's greeting.

--- a/hawthorntrack/coordination/peers.py
+++ b/hawthorntrack/coordination/peers.py
@@ -28,6 +28,8 @@
         When the guard was last told that its runs are still wanted.
     vouched_as_of : int
         The stamp of the directives that it was told then.
+    begun_at : float
+        When the guard's present life was first heard.
     heard_at, pulse_at : float
         When any message, and the newest pulse, arrived; in seconds, suspended time
         included.
@@ -40,6 +42,7 @@
         self.room = ABSENT
         self.unconfirmed: dict[RunName, Resources] = {}
         self.runs: dict[TaskName, RunName] = {}
+        self.begun_at = 0.0
         self.heard_at = 0.0
         self.pulse_at = 0.0
         self.stamp_ms = 0
@@ -48,7 +51,7 @@
 
     def begin_life(self, nonce: str) -> None:
         """Forget what holds for one life of the guard only, its clock among it."""
-        self.nonce = nonce
+        self.nonce, self.begun_at = nonce, self.heard_at
         self.room = ABSENT
         self.stamp_ms = 0
         self.vouched_at = 0.0
@@ -75,6 +78,10 @@
             free = free.minus(need)
         return Place(self.address, self.room, free)
 
+    def lapsed(self, now: float) -> bool:
+        """Return whether no lease of the guard's earlier life can be left."""
+        return now > leases.lapsed_by(self.begun_at)
+
     def gone_by(self) -> float:
         """Return when runs sent here are certainly gone if it stays silent."""
         return leases.gone_by(self.pulse_at)
--- a/hawthorntrack/coordination/progress.py
+++ b/hawthorntrack/coordination/progress.py
@@ -19,8 +19,9 @@
     ----------
     number : int
         The lowest number that its next run may have.
-    guard, guard_life : str
-        Where it is placed, empty otherwise, and in which life of that guard.
+    guard, guard_life, target : str
+        Where it is placed, empty otherwise, in which life of that guard, and the
+        target that the guard reported then.
     avoid : frozenset of str
         Guards where it failed.
     """
@@ -34,6 +35,7 @@
         "number",
         "phase",
         "step",
+        "target",
     )
 
     def __init__(self, name: TaskName, step: StepSpec) -> None:
@@ -44,6 +46,7 @@
         self.failures = 0
         self.guard = ""
         self.guard_life = ""
+        self.target = ""
         self.avoid: frozenset[str] = frozenset()
 
     @property
--- a/hawthorntrack/coordination/run_placing.py
+++ b/hawthorntrack/coordination/run_placing.py
@@ -190,6 +190,7 @@
     def assign(self, job: Job, task: Task, peer: GuardPeer) -> None:
         """Note that a task is sent to a guard."""
         task.phase, task.guard, task.guard_life = PLACED, peer.address, peer.nonce
+        task.target = peer.room.target
         job.begun = True
         peer.runs[task.name] = task.run
         peer.unconfirmed[task.run] = task.step.need
@@ -291,11 +292,20 @@
                 self.vouch(peer)
 
     def forget_earlier_life(self, peer: GuardPeer) -> None:
-        """Place again what an earlier life of a guard had; its target has none."""
+        """Place again what an earlier life of a guard had; its target has none.
+
+        Explanation
+        -----------
+        Another target may have drained beside the one that the guard reports now. Its
+        runs are over with their lease.
+        """
+        lapsed = peer.lapsed(self.clock())
         lost = [
             found
             for run in peer.runs.values()
-            if (found := self.task_at(peer, run)) and found[1].guard_life != peer.nonce
+            if (found := self.task_at(peer, run))
+            and found[1].guard_life != peer.nonce
+            and (lapsed or found[1].target == peer.room.target)
         ]
         for job, task in lost:
             self.unplace(peer, task, task.number)
