Show that an order which reached a guard's next life is placed again

Orders go by address, so one that was sent before the owner heard of a guard's restart may reach the next life, and its stamp may still be good. The owner then takes the next life's readiness for proof that the run is gone, and places it once more beside it.

Replaced by a stricter one: test_restarted_guard_that_is_ready_has_none_of_the_earlier_runs asked for the runs to be placed as soon as the guard is ready; now they are asked after first, and placed on the guard's word. The test of another target asks for the check at the same moment as it asked for the placing.

--- a/hawthorntrack/coordination/tests/test_dispatcher.py
+++ b/hawthorntrack/coordination/tests/test_dispatcher.py
@@ -513,16 +513,33 @@
     assert type(told[1]) is Vouch
 
 
-def test_restarted_guard_that_is_ready_has_none_of_the_earlier_runs(placed):
-    entry, _, _ = placed
+def test_restarted_guard_that_is_ready_is_asked_for_the_earlier_runs(placed):
+    entry, _, runs = placed
     entry.tell(LinkDown(ONE.address))
     reborn = ONE._replace(nonce="g9")
     entry.link(reborn, standing="unwell")
-    assert entry.starts() == []
+    assert entry.messages(CheckRuns) == []
     entry.pulse(reborn)
+    entry.pulse(reborn)
+    ((_, check),) = entry.messages(CheckRuns)
+    assert set(check.runs) == set(runs)
+    assert entry.starts() == []
+    for run in runs:
+        entry.end(reborn, run, "lost")
     assert len(entry.starts()) == 2
 
 
+def test_order_that_reached_a_guards_next_life_is_not_placed_again(placed):
+    """It was sent by address, before the guard's restart was known."""
+    entry, reply, runs = placed
+    reborn = ONE._replace(nonce="g9")
+    entry.link(reborn)
+    assert entry.starts() == []
+    for run in runs:
+        entry.end(reborn, run)
+    assert reply.result() == Completed()
+
+
 def test_process_that_stood_still_starts_nothing_more_of_its_jobs(placed):
     """Its callers may have sent the jobs elsewhere meanwhile."""
     entry, reply, runs = placed
@@ -673,7 +690,7 @@
 
 def test_restarted_guard_with_another_target_proves_nothing_of_the_first(placed):
     """The first target drains beside it, and still runs what it was told to."""
-    entry, _, _ = placed
+    entry, _, runs = placed
     entry.tell(LinkDown(ONE.address))
     reborn = ONE._replace(nonce="g9")
     entry.link(reborn, target="t-new")
@@ -683,6 +700,8 @@
         entry.wait(0.1)
         entry.pulse(reborn, target="t-new")
         assert entry.starts() == []
+        assert not any(check.runs for _, check in entry.messages(CheckRuns))
     entry.wait(0.2)
     entry.pulse(reborn, target="t-new")
-    assert len(entry.starts()) == 2
+    ((_, check),) = entry.messages(CheckRuns)
+    assert set(check.runs) == set(runs)
