Ask a restarted guard for the earlier runs before they are placed again

Cause: orders go by address. One that the owner sent before it heard of the restart can reach the guard's next life with a stamp that is still good (0.6 s), and is begun there; the owner then placed the same task again as soon as that life was ready.

Ruled out: a life of the guard in the order itself. It would refuse the order, but needs one more field on the wire; the check that a link brings anyway gives the same proof.

Change: once the next life is ready, the owner sends it the check with the earlier runs (check_earlier_life), and goes by the answer: lost, or at work. A link that comes back checks only what that life was asked or sent, so that nothing is told lost by a life that can't know yet.

--- a/hawthorntrack/coordination/run_placing.py
+++ b/hawthorntrack/coordination/run_placing.py
@@ -235,7 +235,7 @@
         if peer.nonce != sender.nonce:
             peer.begin_life(sender.nonce)
         else:
-            self.send(sender.address, CheckRuns(tuple(peer.runs.values())))
+            self.check_runs(peer)
 
     @handles(LinkUp)
     def link_up(self, news: LinkUp, sender: Incarnation) -> None:
@@ -261,7 +261,7 @@
         if not told_all or peer.heard_at - peer.vouched_at >= VOUCH_S:
             self.vouch(peer)
         if peer.room.standing == "ready":
-            self.forget_earlier_life(peer)
+            self.check_earlier_life(peer)
         self.report_ready()
         self.placing_due = True
 
@@ -291,26 +291,38 @@
             if peer.linked and peer.stamp_ms:
                 self.vouch(peer)
 
-    def forget_earlier_life(self, peer: GuardPeer) -> None:
-        """Place again what an earlier life of a guard had; its target has none.
+    def check_earlier_life(self, peer: GuardPeer) -> None:
+        """Ask after what an earlier life of a guard had, now that it can tell.
 
         Explanation
         -----------
-        Another target may have drained beside the one that the guard reports now. Its
-        runs are over with their lease.
+        An order that was on its way may have reached this life; what did not is
+        reported lost. Another target may have drained beside the one that the guard
+        reports now. Its runs are over with their lease.
         """
         lapsed = peer.lapsed(self.clock())
-        lost = [
-            found
-            for run in peer.runs.values()
-            if (found := self.task_at(peer, run))
-            and found[1].guard_life != peer.nonce
-            and (lapsed or found[1].target == peer.room.target)
+        asked = [
+            task
+            for task in self.tasks_at(peer)
+            if task.guard_life != peer.nonce
+            and (lapsed or task.target == peer.room.target)
         ]
-        for job, task in lost:
-            self.unplace(peer, task, task.number)
-            labelled(RETRIES, "guard_restarted").inc()
-            self.give_back(job, task)
+        if not asked:
+            return
+        labelled(RETRIES, "guard_restarted").inc(len(asked))
+        for task in asked:
+            task.guard_life = peer.nonce
+        self.check_runs(peer)
+
+    def check_runs(self, peer: GuardPeer) -> None:
+        """Tell a guard which runs its present life should have."""
+        names = [t.run for t in self.tasks_at(peer) if t.guard_life == peer.nonce]
+        self.send(peer.address, CheckRuns(tuple(names)))
+
+    def tasks_at(self, peer: GuardPeer) -> list[Task]:
+        """Return the tasks that are believed to be at a guard."""
+        found = (self.task_at(peer, run) for run in peer.runs.values())
+        return [job_and_task[1] for job_and_task in found if job_and_task]
 
     @handles(RunsTaken)
     def take_taken(self, news: RunsTaken, sender: Incarnation) -> None:
