Show that orders to a target's earlier life are not fenced in the next one

Callers saw: two runs of a task at the same time, by the operators' report.

A target is named by its id alone in an order, so a life that comes back under the id carries out what was sent, and held up, to the one before. It knows no token and no run number, and its clock begins anew, so no lease in such an order is over. The guard goes on with the same token, or falls back to its first one when the session was dropped.

The model of a target dropped late orders to an earlier life, which no real one does; it goes by the id now, and a new fault of the soak, targets_crash_late, has targets begin new lives while orders are late.

Evidence: test_orders_to_an_earlier_life_are_fenced_by_the_first_to_the_next fails in all five ways in which a life shows: `assert all(order.token > start.token ...)`, False.

--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -291,6 +291,63 @@
     assert guard.messages(RunsRefused) == []
 
 
+def come_back_at_once(guard):
+    """Have the target announce a new life."""
+    guard.announce(TargetLife("t1", 200))
+
+
+def come_back_in_a_list(guard):
+    """Have a list of runs tell of a new life."""
+    for order in guard.orders(HoldOrder):
+        guard.tell(HoldReply(order, "held", 10, 200, (), ()))
+
+
+def come_back_after_the_lapse(guard):
+    """Have the target announce a new life when its runs have been given up."""
+    guard.answer_holds(outcome="unreachable")
+    guard.wait(2.0)
+    guard.announce(TargetLife("t1", 200))
+
+
+def come_back_after_another(guard):
+    """Have another target answer at the address before."""
+    guard.answer_holds(outcome="other_life")
+    guard.announce(TargetLife("t1", 200))
+
+
+def come_back_after_silence(guard):
+    """Have the target announce a new life when it has been forgotten."""
+    guard.answer_holds(outcome="unreachable")
+    guard.wait(2.0)
+    guard.wait(20.0)
+    assert not guard.holder.sessions
+    guard.announce(TargetLife("t1", 200))
+
+
+@pytest.mark.parametrize(
+    "come_back",
+    [
+        come_back_at_once,
+        come_back_in_a_list,
+        come_back_after_the_lapse,
+        come_back_after_another,
+        come_back_after_silence,
+    ],
+)
+def test_orders_to_an_earlier_life_are_fenced_by_the_first_to_the_next(
+    guard, come_back
+):
+    """The new life goes by the same id and carries them out, late as they are."""
+    guard.order_runs()
+    (start,) = guard.answer_starts("fenced")
+    (start,) = guard.answer_starts()
+    come_back(guard)
+    orders = guard.orders(HoldOrder) + guard.orders(StopOrder)
+    first = [o for o in orders if o.target.life == TargetLife("t1", 200)]
+    assert first
+    assert all(order.token > start.token for order in first)
+
+
 def test_unreadable_heartbeat_changes_nothing(running):
     guard, _ = running
     guard.tell(Announced("no state"))
--- a/hawthorntrack/experiment/model_target.py
+++ b/hawthorntrack/experiment/model_target.py
@@ -139,8 +139,14 @@
         self.later(CALL_S, self.carry_out, order, True)
 
     def carry_out(self, order: Any, answered: bool) -> None:
-        """Do what an order says, and answer it if anybody waits."""
-        if order.target.life != self.life:
+        """Do what an order says, and answer it if anybody waits.
+
+        Explanation
+        -----------
+        Orders name a target by its id only, so a later life carries out what was sent
+        to an earlier one.
+        """
+        if order.target.life.id != self.name:
             if answered:
                 self.answer(order, "other_life")
             return
--- a/hawthorntrack/experiment/soak_faults.py
+++ b/hawthorntrack/experiment/soak_faults.py
@@ -17,6 +17,7 @@
 GAP_S = (0.1, 1.5)
 END_LIMIT_S = 10.0  # well beyond the grace
 LATEST_S = 0.2  # a slow line, one way
+LATE_SHARE = 0.3  # of a target's orders
 
 SoakFault = Callable[[SoakSite, random.Random], Awaitable[None]]
 soak_faults: Registry[SoakFault] = Registry("soak fault")
@@ -196,7 +197,7 @@
     ("hang", 1.0),
     ("shed", 1.0),
     ("mute", 1.0),
-    ("late", 0.3),
+    ("late", LATE_SHARE),
     ("lost", 0.3),
 ):
     target_fault(fault_name, fault_share)
@@ -208,6 +209,18 @@
     rng.choice(site.targets).be_born()
 
 
+@soak_fault("targets_crash_late")
+async def crash_while_late(site: SoakSite, rng: random.Random) -> None:
+    """Have targets begin new lives that carry out orders sent to the ones before."""
+    chosen = rng.sample(site.targets, max(1, len(site.targets) // 3))
+    for target in chosen:
+        target.fault, target.fault_share = "late", LATE_SHARE
+    await asyncio.sleep(rng.uniform(*LASTS_S))
+    for target in chosen:
+        target.be_born()
+        target.fault = ""
+
+
 @soak_fault("targets_slow")
 async def slow(site: SoakSite, rng: random.Random) -> None:
     """Have one target work seven times slower for a while."""
