Fence orders to a target's earlier life by the first order to the next

Callers saw: a task at work on two targets. In the soak the first run, ordered and given back as lost, was begun late by a life that came back under the target's id.

Cause: begin_life gave the new life the token of the one before, and a session dropped for silence, a farewell or another target's answer began again at the guard's first token. So an order to the earlier life carried a token that was not lower, and passed.

Change: the guard keeps one token above those of all lives that it has known, and each session begins with it, however the life shows. The hold that begins the session carries it, runs or none. target:new tells it.

Ruled out: a token kept per target's id (grows with the ids, and protects no better), and letting the lease do it (the new life's clock begins anew).

Left: an order that the new life carries out before the guard's first one reaches it. Such a run is found in the lists and stopped as unknown_here.

--- a/hawthorntrack/coordination/target_lists.py
+++ b/hawthorntrack/coordination/target_lists.py
@@ -43,17 +43,22 @@
         Takes orders to the target.
     clock : callable
         Returns seconds, suspended time included.
+    first_token : int
+        Fencing token to begin with.
 
     Attributes
     ----------
+    next_token : int
+        Fencing token of the next life of a target, above those of all before it.
     trusted_until : dict of str to float
         For each owner of runs, when the trust in it ends.
     """
 
-    def __init__(self, calls: Mailbox, clock: Clock) -> None:
+    def __init__(self, calls: Mailbox, clock: Clock, first_token: int) -> None:
         super().__init__()
         self.calls = calls
         self.clock = clock
+        self.next_token = first_token
         self.sessions: dict[str, TargetSession] = {}
         self.trusted_until: dict[str, float] = {}
         self.health = health_rules.Health()
@@ -82,6 +87,26 @@
             return None
         return session
 
+    def open_session(self, state: TargetState, now: float) -> TargetSession:
+        """Begin a session whose first order fences those to the lives before it.
+
+        Explanation
+        -----------
+        A life that comes back under its id carries out what was sent to the one
+        before, and has seen no token.
+        """
+        session = TargetSession(state, self.next_token, now)
+        self.next_token = leases.next_token(session.token, 1)
+        self.sessions[state.life.id] = session
+        return session
+
+    def raise_fence(self, session: TargetSession) -> None:
+        """Go up to a token that the target may accept."""
+        session.fenced += 1
+        session.token = leases.next_token(session.token, session.fenced)
+        above = leases.next_token(session.token, 1)
+        self.next_token = max(self.next_token, above)
+
     def end_session(self, session: TargetSession, how: str) -> None:
         """Report all runs of a life that is over."""
         self.finish(session, [(run, how) for run in session.runs.values()])
@@ -182,8 +207,7 @@
             self.sessions.pop(session.state.life.id)
             self.end_session(session, "lost")
         elif reply.outcome == "fenced":
-            session.fenced += 1
-            session.token = leases.next_token(session.token, session.fenced)
+            self.raise_fence(session)
             self.hold(session)
         else:
             session.lost_answer_at = now
--- a/hawthorntrack/coordination/target_orders.py
+++ b/hawthorntrack/coordination/target_orders.py
@@ -46,20 +46,17 @@
 
     Parameters
     ----------
-    calls, clock
+    calls, clock, first_token
         As for `TargetLists`.
     memory : Mailbox
         Takes `TargetSeen`.
-    first_token : int
-        Fencing token to begin with.
     """
 
     def __init__(
         self, calls: Mailbox, memory: Mailbox, clock: Clock, first_token: int
     ) -> None:
-        super().__init__(calls, clock)
+        super().__init__(calls, clock, first_token)
         self.memory = memory
-        self.first_token = first_token
         self.numbers: dict[TaskName, int] = {}
 
     def refuse(self, owner: str, names: Iterable[RunName], reason: str) -> None:
@@ -100,7 +97,7 @@
     def begin_life(self, state: TargetState, now: float) -> None:
         """Begin with a new life of a target."""
         older = self.sessions.pop(state.life.id, None)
-        session = TargetSession(state, self.first_token, now)
+        session = self.open_session(state, now)
         log_event(
             "target:new",
             target=state.life.id,
@@ -109,8 +106,8 @@
             born_before_ms=older.state.life.born_ms if older is not None else 0,
             runs_before=len(older.runs) if older is not None else 0,
             token_before=older.token if older is not None else 0,
+            token=session.token,
         )
-        self.sessions[state.life.id] = session
         self.health = health_rules.Health()
         if older is not None:
             self.stop_in_new_life(older, session)
@@ -125,8 +122,7 @@
         A crash shows some time after it. A start that was sent meanwhile has been
         carried out by the new life, which goes by the same id.
         """
-        session.lease_ends, session.token = older.lease_ends, older.token
-        session.runs = older.runs
+        session.lease_ends, session.runs = older.lease_ends, older.runs
         for run in session.runs.values():
             why, run.phase = run.why or "lost", UNSURE
             self.stop(session, run, why)
@@ -214,8 +210,7 @@
     @after_start.register("fenced")
     def raise_token(self, session: TargetSession, run: Run) -> None:
         """Send it again with a higher token."""
-        session.fenced += 1
-        session.token = leases.next_token(session.token, session.fenced)
+        self.raise_fence(session)
         self.try_again(session, run, "fenced")
 
     @after_start.register("old_run")
@@ -349,8 +344,7 @@
             run.moved_at = self.clock()
             self.look(session)
         elif reply.outcome == "fenced":
-            session.fenced += 1
-            session.token = leases.next_token(session.token, session.fenced)
+            self.raise_fence(session)
             self.calls.put(StopOrder(session.target, run.name, session.token))
         elif reply.outcome == "other_life":
             self.other_life(session, run)
