--- a/hawthorntrack/platform/tests/test_calls.py
+++ b/hawthorntrack/platform/tests/test_calls.py
@@ -17,6 +17,7 @@
     Departed,
     HoldOrder,
     StartOrder,
+    StopOrder,
 )
 from hawthorntrack.state.mailbox import Mailbox
 from hawthorntrack.state.plans import RunName, TargetLife, TargetState, TaskName
@@ -128,6 +129,33 @@
     assert with_server(stand_in.answer, scene) == "unreachable"
 
 
+@pytest.mark.parametrize(
+    ("address", "outcome"),
+    [("127.0.0.1:9", "unreachable"), ("255.255.255.255:9", "unsent")],
+)
+def test_only_a_refused_connection_says_that_nobody_listens(address, outcome):
+    """Another failure to connect says nothing of the target."""
+
+    async def scene():
+        replies = Mailbox("replies")
+        calls = TargetCalls(replies, TIMEOUT_S)
+        task = asyncio.create_task(calls.run())
+        target = Address(TargetLife("i-1", 7), address)
+        name = RunName(TaskName(KEY, 0, 0, 3), 2)
+        orders = (
+            StartOrder(target, name, "text", 900, 50),
+            StopOrder(target, name, 50),
+            HoldOrder(target, None, 50, 0, 0.0, 0.0),
+        )
+        for order in orders:
+            calls.mailbox.put(order)
+        outcomes = [(await replies.get()).outcome for _ in orders]
+        task.cancel()
+        return outcomes
+
+    assert asyncio.run(scene()) == [outcome] * 3
+
+
 def test_lists_that_cannot_be_read_count_as_no_answer(with_server, stand_in):
     stand_in.answers["/v1/hold"] = (200, {"clock_ms": 1, "running": [["x"]]})
 
