Give the runs of a target that leaves back on proof that they are over

Callers saw: two runs of a task at the same time, by the operators' report.

Cause: a farewell dropped the session and reported its runs as lost, whoever had sent it and whatever still ran.

Change: a farewell has the session drain and the lists asked for at once. Its runs are lost when the connection is refused or another life answers; the lists tell otherwise, and the lapse of the lease where nothing answers. A newer heartbeat of the same life takes it all back. The client of the target tells a refused connection (unreachable) from one that could not be made for another reason (unsent).

Ruled out: stopping the runs at a farewell. A genuine one is followed by their end anyway, and a late one would throw away the work of a life that it does not concern.

The tests of the lease holder, the dispatcher, platform and layers pass. Not played with real processes: the soak has no target that leaves.

--- a/hawthorntrack/coordination/sessions.py
+++ b/hawthorntrack/coordination/sessions.py
@@ -81,6 +81,8 @@
         When all leases that were ordered are over; 0.0 before the first.
     announced : bool
         Whether the target has told what this life can take.
+    departed : bool
+        Whether the target has said that it ends, and nothing since.
     verified : bool
         Whether a list of runs has shown that none of an earlier guard is left.
     """
@@ -100,6 +102,7 @@
         self.lost_answer_at = -math.inf
         self.retry_at = 0.0
         self.announced = True
+        self.departed = False
         self.verified = False
         self.foreign: set[RunName] = set()
 
@@ -116,6 +119,10 @@
             taken = taken.plus(run.order.need)
         return self.state.capacity.minus(taken)
 
+    def is_over(self, outcome: str) -> bool:
+        """Return whether an order's outcome proves that nothing of this life runs."""
+        return outcome == "other_life" or (self.departed and outcome == "unreachable")
+
     def read_clock(self, clock_ms: int, now: float) -> None:
         """Take a reading of the target's clock."""
         if clock_ms:
--- a/hawthorntrack/coordination/target_lists.py
+++ b/hawthorntrack/coordination/target_lists.py
@@ -108,7 +108,8 @@
         self.next_token = max(self.next_token, above)
 
     def end_session(self, session: TargetSession, how: str) -> None:
-        """Report all runs of a life that is over."""
+        """Forget a life that is over, and report all of its runs."""
+        self.sessions.pop(session.state.life.id, None)
         self.finish(session, [(run, how) for run in session.runs.values()])
         self.room_changed()
 
@@ -203,8 +204,7 @@
             self.take_lists(session, reply, now)
             self.hold(session)
             return
-        if reply.outcome == "other_life":
-            self.sessions.pop(session.state.life.id)
+        if session.is_over(reply.outcome):
             self.end_session(session, "lost")
         elif reply.outcome == "fenced":
             self.raise_fence(session)
--- a/hawthorntrack/coordination/target_orders.py
+++ b/hawthorntrack/coordination/target_orders.py
@@ -84,7 +84,7 @@
             return
         changed = state.draining != session.state.draining
         news = not session.announced
-        session.state, session.announced = state, True
+        session.state, session.announced, session.departed = state, True, False
         session.heard_at = now
         session.read_clock(state.clock_ms, now)
         if changed or news:
@@ -129,11 +129,21 @@
 
     @handles(Departed)
     def take_farewell(self, news: Departed, sender: Incarnation) -> None:
-        """Forget a target that has ended."""
-        session = self.sessions.pop(news.target, None)
-        if session is not None:
-            log_event("target:departed", target=news.target, runs=len(session.runs))
-            self.end_session(session, "lost")
+        """Give a target no more runs, and find out whether it is gone.
+
+        Explanation
+        -----------
+        A farewell that was held up may be one of an earlier life. One that tells the
+        truth is followed by a refused connection.
+        """
+        session = self.sessions.get(news.target)
+        if session is None:
+            return
+        log_event("target:departed", target=news.target, runs=len(session.runs))
+        session.departed = True
+        session.state = session.state._replace(draining=True)
+        self.look(session)
+        self.room_changed()
 
     def current(self) -> TargetSession | None:
         """Return the session that takes new runs."""
@@ -288,6 +298,7 @@
         self.abandon_start(session, run, "unwell")
 
     @after_start.register("unreachable")
+    @after_start.register("unsent")
     def unreachable(self, session: TargetSession, run: Run) -> None:
         """Give it back: the order was not sent."""
         session.failures += 1
@@ -296,7 +307,6 @@
     @after_start.register("other_life")
     def other_life(self, session: TargetSession, run: Run) -> None:
         """Another life answers at the address: this one is over."""
-        self.sessions.pop(session.state.life.id, None)
         self.end_session(session, "lost")
 
     @after_start.register("unanswered")
@@ -346,8 +356,8 @@
         elif reply.outcome == "fenced":
             self.raise_fence(session)
             self.calls.put(StopOrder(session.target, run.name, session.token))
-        elif reply.outcome == "other_life":
-            self.other_life(session, run)
+        elif session.is_over(reply.outcome):
+            self.end_session(session, "lost")
         else:
             run.tries += 1
             self.calls.put(StopOrder(session.target, run.name, session.token))
--- a/hawthorntrack/platform/targets.py
+++ b/hawthorntrack/platform/targets.py
@@ -140,8 +140,8 @@
         """Return what came of an order, and the target's clock."""
         try:
             status, data = await self.post(target, path, body, self.timeout_s)
-        except aiohttp.ClientConnectorError:
-            return "unreachable", 0
+        except aiohttp.ClientConnectorError as error:
+            return not_connected(error), 0
         except ERRORS:
             return "unanswered", 0
         answer = fields_of(data)
@@ -175,8 +175,8 @@
                 reply = HoldReply(order, REFUSALS_BY_REASON.get(reason, "unwell"))
             else:
                 reply = HoldReply(order, REFUSALS_BY_STATUS.get(status, "unwell"))
-        except aiohttp.ClientConnectorError:
-            reply = HoldReply(order, "unreachable")
+        except aiohttp.ClientConnectorError as error:
+            reply = HoldReply(order, not_connected(error))
         except ERRORS:
             reply = HoldReply(order, "unanswered")
         except Malformed:
@@ -185,6 +185,12 @@
         self.replies.put(reply)
 
 
+def not_connected(error: aiohttp.ClientConnectorError) -> str:
+    """Return what came of an order for which there was no connection."""
+    refused = isinstance(error.os_error, ConnectionRefusedError)
+    return "unreachable" if refused else "unsent"
+
+
 def fields_of(data: bytes) -> dict[str, Any]:
     """Return the fields of a short answer; an unreadable one has none."""
     try:
--- a/hawthorntrack/protocol/orders.py
+++ b/hawthorntrack/protocol/orders.py
@@ -74,8 +74,9 @@
     ----------
     outcome : str
         ``started``; ``fenced``, ``old_run``, ``late``, ``no_room``, ``invalid``,
-        ``unwell`` or ``other_life``: the run was not begun; ``unreachable``: the
-        order was not sent; ``unanswered``: it may still be carried out.
+        ``unwell`` or ``other_life``: the run was not begun; ``unreachable``: nobody
+        listens at the address; ``unsent``: the order was not sent for another
+        reason; ``unanswered``: it may still be carried out.
     clock_ms : int
         The target's clock; 0 where it was not told.
     """
