Show that a stop which fails at once is sent again in a busy loop

A stop without success is sent again the moment its outcome arrives. An order that is not answered takes 50 ms, but a refused port, a reset connection and a target that turns the order away answer in no time, and the guard goes round until the run is given up.

Evidence: with eight replies in no time a ninth stop is on its way, for `unreachable`, `unsent`, `unanswered` and `unwell`.

--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from hawthorntrack.coordination.leaseholder import LeaseHolder
+from hawthorntrack.coordination.leaseholder import LeaseHolder, RoomNews
 from hawthorntrack.coordination.leases import LEASE_S, STOP_S, TRUST_S, gone_by
 from hawthorntrack.coordination.target_orders import NO_ROOM_PAUSE_S, START_REPEATS
 from hawthorntrack.protocol.dispatch import (
@@ -47,6 +47,8 @@
 OTHER = Incarnation("entry:2", "e2")
 NEED = Resources(1_600, 64)
 LIFE = TargetLife("t1", 100)
+STOPS_AT_ONCE = 8
+PAUSE_S = 0.05  # as long as an order waits for its answer
 SLOWEST_PACE = 0.98  # stated for targets' clocks
 RESEND_S = 1.3  # stated: from a broken connection, 502 or 504 to the next attempt
 
@@ -504,6 +506,40 @@
     assert len(guard.orders(StopOrder)) == 1
 
 
+def fail_stops(guard, outcome):
+    """Have stops fail with no time passed; return what the guard posts to itself."""
+    posted = []
+    guard.holder.later = lambda delay_s, message: posted.append((delay_s, message))
+    for _ in range(STOPS_AT_ONCE):
+        for stop in guard.orders(StopOrder):
+            guard.tell(StopReply(stop, outcome))
+    assert guard.orders(StopOrder) == []
+    return [item for item in posted if not isinstance(item[1], RoomNews)]
+
+
+@pytest.mark.parametrize("outcome", ["unreachable", "unsent", "unanswered", "unwell"])
+def test_stops_that_fail_at_once_are_not_sent_in_a_busy_loop(running, outcome):
+    """A refused port answers in no time, and each order makes a connection."""
+    guard, name = running
+    guard.tell(StopRuns((name,)), ENTRY)
+    for _ in range(3):
+        ((delay_s, again),) = fail_stops(guard, outcome)
+        assert delay_s >= PAUSE_S
+        guard.tell(again)
+        (stop,) = guard.orders(StopOrder)
+        assert stop.name == name
+        guard.calls.put(stop)
+
+
+def test_stop_that_was_taken_meanwhile_is_not_sent_again(running):
+    guard, name = running
+    guard.tell(StopRuns((name,)), ENTRY)
+    ((_, again),) = fail_stops(guard, "unreachable")
+    guard.answer_holds(ended=[RunEnd(1, name, "stopped")])
+    guard.tell(again)
+    assert guard.orders(StopOrder) == []
+
+
 def test_lease_is_not_renewed_while_a_stop_is_not_being_answered(running):
     guard, name = running
     guard.tell(StopRuns((name,)), ENTRY)
