Pause between stops that fail at once

Callers saw: nothing by themselves; processor time and connections of a guard beside a target that is gone.

Cause: take_stop sent a stop again on each outcome but success, whatever that came of.

Change: the first three repeats go out at once, as before; each further one 50 ms after the outcome, by a message of the lease holder to itself, unless the stop was taken or the run is over by then.

Ruled out: leaving the repeat to the tick, as it renews no lease either; a tick is longer.

--- a/hawthorntrack/coordination/target_orders.py
+++ b/hawthorntrack/coordination/target_orders.py
@@ -1,6 +1,7 @@
 """The part of a lease holder that starts and stops runs on its target."""
 
 from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 from hawthorntrack.coordination import health as health_rules
 from hawthorntrack.coordination import leases
@@ -14,6 +15,7 @@
 )
 from hawthorntrack.coordination.target_lists import TargetLists
 from hawthorntrack.protocol.orders import (
+    Address,
     Announced,
     Departed,
     StartOrder,
@@ -36,11 +38,20 @@
 NO_ROOM_PAUSE_S = 0.05  # half a short task: until an end may have made room
 START_TRIES = 8  # with a token, number or clock corrected each time
 START_REPEATS = 2  # of one that got no answer
+STOP_REPEATS = 3  # at once; further ones pause, since a refused port answers in no time
+STOP_AGAIN_S = 0.05  # as long as an order waits for its answer
 NUMBERS_KEPT = 20_000
 
 after_start: Registry[Callable[..., None]] = Registry("outcome of a start")
 
 
+class StopAgain(NamedTuple):
+    """Tells the lease holder to repeat a stop that no answer has confirmed."""
+
+    target: Address
+    name: RunName
+
+
 class TargetOrders(TargetLists):
     """Sends starts and stops, and acts on what they came to.
 
@@ -360,4 +371,20 @@
             self.end_session(session, "lost")
         else:
             run.tries += 1
+            again = StopAgain(session.target, run.name)
+            if run.tries <= STOP_REPEATS:
+                self.stop_again(again, sender)
+            else:
+                self.later(STOP_AGAIN_S, again)
+
+    @handles(StopAgain)
+    def stop_again(self, news: StopAgain, sender: Incarnation) -> None:
+        """Repeat a stop, unless it was taken or the run is over."""
+        session = self.sessions.get(news.target.life.id)
+        if session is None or session.target.life != news.target.life:
+            return
+        run = session.runs.get(news.name.task)
+        if run is None or run.name != news.name:
+            return
+        if run.phase == STOPPING and not run.moved_at:
             self.calls.put(StopOrder(session.target, run.name, session.token))
