Show that lists are asked for in a busy loop while a foreign run is stopped

Callers saw: nothing by themselves; found while reading for the two runs of a task.

A guard that finds a run which it does not know stops it and asks for the lists again. As the session is not verified yet, that hold asks for no wait, is answered at once, finds the run still there, and the guard sends a stop and a hold once more: without pause for as long as the stop takes, and until the lease is over if the stop is lost.

--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -918,6 +918,15 @@
     assert guard.holder.room().standing == "ready"
 
 
+def test_lists_are_not_asked_for_in_a_busy_loop_while_a_foreign_run_is_stopped(run):
+    """A stop takes a while; its end answers the hold that waits for it."""
+    guard = Guard()
+    guard.announce()
+    stranger = RunName(TaskName("d" * 16, 0, 0, 0), 3)
+    guard.answer_holds([RunStatus(stranger, 50)])
+    assert [hold.wait_s > 0 for hold in guard.orders(HoldOrder)] == [True]
+
+
 def test_room_is_reported_at_once_only_where_jobs_wait(guard):
     """Load pattern: a calm day at many entry instances."""
     posted = []
