Have the lists wait for an end while a foreign run is stopped

Callers saw: nothing by themselves; processor time of a guard that has just started.

Cause: only holds of a verified session waited, and the session is verified once the foreign run is gone, so each list that still showed it brought on the next hold at once.

Change: a hold waits as well while a foreign run is being stopped.

Ruled out: leaving the next hold to the tick, which delays the readiness of a guard that restarts.

--- a/hawthorntrack/coordination/target_lists.py
+++ b/hawthorntrack/coordination/target_lists.py
@@ -127,7 +127,7 @@
         if session.holding is not None or not (session.runs or pending or doubted):
             return
         lease_ms = self.renewal(session, now)
-        waits = session.runs and session.verified
+        waits = session.foreign or (session.runs and session.verified)
         wait_s = HOLD_WAIT_S if waits else 0.0
         session.holding = self.order_hold(session, lease_ms, wait_s)
         if waits and now < session.lost_answer_at + DOUBLED_S:
--- a/hawthorntrack/coordination/target_orders.py
+++ b/hawthorntrack/coordination/target_orders.py
@@ -4,7 +4,6 @@
 from typing import NamedTuple
 
 from hawthorntrack.coordination import health as health_rules
-from hawthorntrack.coordination import leases
 from hawthorntrack.coordination.sessions import (
     RUNNING,
     STARTING,
