Show which bodies of other writers end a process or hide good rows

What callers saw: another writer left one odd entry among those of the targets (very deeply nested, with a number too large, or with a port out of range), and processes that read the list ended again and again, or stopped following it.

- nesting of 100,000 levels, also in a field that is skipped, raises RecursionError, which no decoder of member rows, lists, short answers and pages catches: "maximum recursion depth exceeded while deserializing"
- integers have no bound: a clock of 400 digits ends the lease holder ("int too large to convert to float"), a capacity of 2**64 ends it when a pulse is encoded ("can't serialize ints < -2**63 or > 2**64 - 1")
- a target id with a line break ends the client of the target ("Forbidden control character detected in headers")
- ports out of range and texts without a host are taken as addresses
- one odd row of a page makes the whole page malformed, each time it is read

Ruled out: texts that are no UTF-8, lone surrogates, NaN and Infinity are refused by the decoder already; a remembered target that is no document is passed over already.

--- /dev/null
+++ b/hawthorntrack/platform/tests/conftest.py
@@ -0,0 +1,202 @@
+"""Bodies of other writers, and a guard that reads them."""
+
+import asyncio
+import json
+
+import pytest
+
+from hawthorntrack.coordination.leaseholder import LeaseHolder
+from hawthorntrack.platform.formats import encode_json, target_state_of
+from hawthorntrack.protocol.codec import codecs
+from hawthorntrack.protocol.dispatch import Hello, Pulse, RunOrder, StartRuns, Vouch
+from hawthorntrack.protocol.messages import Envelope
+from hawthorntrack.protocol.orders import (
+    Announced,
+    HoldOrder,
+    HoldReply,
+    StartOrder,
+    StartReply,
+)
+from hawthorntrack.state.actor import Delivery
+from hawthorntrack.state.mailbox import Mailbox, Tick
+from hawthorntrack.state.plans import RunName, TaskName
+from hawthorntrack.state.resources import Resources
+from hawthorntrack.state.values import Incarnation
+from hawthorntrack.transport.serving import HttpServer
+
+ENTRY = Incarnation("10.0.0.1:7720", "e1")
+LEVELS = 100_000
+NESTED = b"[" * LEVELS + b"]" * LEVELS
+
+NO_JSON = {
+    "nested": NESTED,
+    "nan": b"NaN",
+    "infinity": b"Infinity",
+    "surrogate": b'"\\ud800"',
+}
+ODD_VALUES = {
+    **NO_JSON,
+    "beyond_floats": b"1" + b"0" * 400,
+    "beyond_digits": b"1" + b"0" * 5_000,
+    "exponent": b"1e400",
+    "beyond_64_bits": b"18446744073709551616",
+    "beyond_63_bits": b"9223372036854775808",
+    "negative": b"-1",
+    "fraction": b"1.5",
+    "null": b"null",
+    "list": b"[null]",
+    "object": b'{"cpu":18446744073709551616}',
+    "text": b'"x"',
+    "empty_text": b'""',
+    "long_text": b'"' + b"x" * 100_000 + b'"',
+    "no_utf8": b'"\xff"',
+    "line_break": b'"a\\r\\nb:80"',
+}
+ODD_DOCUMENTS = {
+    "empty": b"",
+    "null": b"null",
+    "list": b"[]",
+    "cut": b'{"seq":',
+    "no_utf8": b"\xff\xfe",
+    "nested": NESTED,
+    "nested_in_a_skipped_field": b'{"more":' + NESTED + b"}",
+}
+ODD_ADDRESSES = {
+    "port_0": "10.0.0.2:0",
+    "port_65536": "10.0.0.2:65536",
+    "port_99999": "10.0.0.2:99999",
+    "port_negative": "10.0.0.2:-1",
+    "port_beyond_64_bits": "10.0.0.2:18446744073709551616",
+    "port_of_letters": "10.0.0.2:http",
+    "port_of_other_digits": "10.0.0.2:\u0668\u0660",
+    "no_port": "10.0.0.2",
+    "empty": "",
+    "only_a_colon": ":",
+    "null_character": "a\0b:80",
+    "long_label": "x" * 100 + ":80",
+    "not_ascii": "\u00e9" * 80 + ":80",
+    "path": "10.0.0.2/x:80",
+}
+
+
+def with_field(body, path, value):
+    """Return a body as JSON with the bytes of one value in place of another."""
+    mark = "put-it-here"
+    body = json.loads(json.dumps(body))
+    inner = body
+    for key in path[:-1]:
+        inner = inner[key]
+    inner[path[-1]] = mark
+    return json.dumps(body).encode().replace(b'"%s"' % mark.encode(), value)
+
+
+@pytest.fixture
+def beat():
+    """Return a target's heartbeat."""
+    return {
+        "service": "huvo11a",
+        "address": "10.128.0.9:8080",
+        "zone": "recife",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "cold_remaining_ms": 0,
+        "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
+        "labels": ["a", "r1-3"],
+        "clock_ms": 482113,
+        "seq": 4,
+        "born": 1777896939785,
+    }
+
+
+@pytest.fixture(params=ODD_VALUES.values(), ids=ODD_VALUES)
+def odd_value(request):
+    """Return the bytes of a value that is no good one of any field."""
+    return request.param
+
+
+@pytest.fixture(params=ODD_DOCUMENTS.values(), ids=ODD_DOCUMENTS)
+def odd_document(request):
+    """Return bytes that are no document of this system."""
+    return request.param
+
+
+@pytest.fixture(params=ODD_ADDRESSES.values(), ids=ODD_ADDRESSES)
+def odd_address(request):
+    """Return a text that is no address."""
+    return request.param
+
+
+@pytest.fixture
+def with_server():
+    """Return a function that runs a test against an HTTP server on a free port."""
+
+    def play(handler, scene):
+        async def whole():
+            server = HttpServer("127.0.0.1:0", handler)
+            await server.start()
+            host, port = server.runner.addresses[0][:2]
+            try:
+                async with asyncio.timeout(10):
+                    return await scene(f"{host}:{port}")
+            finally:
+                await server.stop()
+
+        return asyncio.run(whole())
+
+    return play
+
+
+class Guard:
+    """A lease holder beside a target that answers each order."""
+
+    def __init__(self, beat):
+        self.time = 1_000.0
+        self.calls, self.memory = Mailbox("calls"), Mailbox("memory")
+        self.sent = []
+        self.holder = LeaseHolder(
+            lambda address, body: self.sent.append(body),
+            self.calls,
+            self.memory,
+            Mailbox("drained"),
+            lambda: self.time,
+            first_token=50,
+        )
+        self.holder.later = lambda delay_s, message: None
+        self.holder.handle(Announced(target_state_of("i-1", json.dumps(beat).encode())))
+        self.answer()
+        self.tell(Hello("entry", "recife", "entry-1"))
+        self.tell(Vouch(round(self.time * 1000), 1, ()))
+
+    def tell(self, body):
+        self.holder.handle(Delivery(ENTRY, body))
+
+    def answer(self):
+        """Encode each order as its call does, and answer it."""
+        queue = self.calls.queue
+        for order in [queue.get_nowait() for _ in range(queue.qsize())]:
+            encode_json(order)
+            if isinstance(order, HoldOrder):
+                born_ms = order.target.life.born_ms
+                self.holder.handle(HoldReply(order, "held", 5_000, born_ms))
+            elif isinstance(order, StartOrder):
+                self.holder.handle(StartReply(order, "started", 5_000))
+
+    def work(self):
+        """Start a run, send a pulse, and encode all that is sent; return the pulse."""
+        name = RunName(TaskName("a" * 16, 0, 0, int(self.time * 10)), 1)
+        runs = (RunOrder(name, Resources(1_600, 64), 400),)
+        self.tell(StartRuns(round(self.time * 1000), "spec", 9_000, runs))
+        self.answer()
+        self.time += 0.3
+        self.holder.handle(Tick())
+        self.answer()
+        for body in self.sent:
+            codecs["msgpack"].encode(Envelope(ENTRY, 1, body))
+        return next(b for b in reversed(self.sent) if isinstance(b, Pulse))
+
+
+@pytest.fixture
+def guard(run, beat):
+    """Return a guard whose target is ready."""
+    return Guard(beat)
--- a/hawthorntrack/platform/tests/test_calls.py
+++ b/hawthorntrack/platform/tests/test_calls.py
@@ -30,7 +30,6 @@
     Refused,
     UnknownJob,
 )
-from hawthorntrack.transport.serving import HttpServer
 
 KEY = "5c0e7a21d94b36f8"
 TIMEOUT_S = 5.0  # outcomes are tested here, not how fast this machine is
@@ -52,26 +51,6 @@
         return web.Response(status=status, body=json.dumps(value).encode())
 
 
-@pytest.fixture
-def with_server():
-    """Return a function that runs a test against an HTTP server on a free port."""
-
-    def play(handler, scene):
-        async def whole():
-            server = HttpServer("127.0.0.1:0", handler)
-            await server.start()
-            host, port = server.runner.addresses[0][:2]
-            try:
-                async with asyncio.timeout(10):
-                    return await scene(f"{host}:{port}")
-            finally:
-                await server.stop()
-
-        return asyncio.run(whole())
-
-    return play
-
-
 @pytest.fixture
 def stand_in():
     return StandIn()
--- a/hawthorntrack/platform/tests/test_formats.py
+++ b/hawthorntrack/platform/tests/test_formats.py
@@ -33,25 +33,6 @@
     return json.dumps(value).encode()
 
 
-@pytest.fixture
-def beat():
-    """Return a target's heartbeat."""
-    return {
-        "service": "huvo11a",
-        "address": "10.128.0.9:8080",
-        "zone": "recife",
-        "version": "v1",
-        "slots": 8,
-        "state": "ready",
-        "cold_remaining_ms": 0,
-        "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
-        "labels": ["a", "r1-3"],
-        "clock_ms": 482113,
-        "seq": 4,
-        "born": 1777896939785,
-    }
-
-
 def test_job_in_steps_is_decoded_with_what_it_leaves_out():
     plan = formats.plan_of(
         KEY,
