Bound what is decoded from other writers, and pass odd entries over

What callers saw: one odd entry of another writer ended the processes that read it again and again, or stopped them following the list.

Cause: each decoder caught another set of errors, and none bounded what it let through. RecursionError is no ValueError; integers of any size went on into the arithmetic of leases and into messages of 64 bits; ids of targets went into a header as they came; a page of rows was taken whole or not at all.

Change: `platform/formats.py` decodes by one function, which turns whatever is wrong into `Malformed`, into fields whose types carry their bounds: numbers up to 2**53 - 1, texts of 200 characters, states and roles that are known. An address is split by one function of the state layer, which refuses ports out of range. Rows of a page are decoded one by one: one without a key or version is passed over, one whose value cannot be read is there and holds nothing, so that a zone stays out. What is passed over is counted, and logged with its name under the bound on lines of one event. The row that remembers a target keeps its form.

Ruled out: falling back to a more tolerant JSON reader for a page that is no JSON as a whole (NaN, a lone surrogate in a key). The store writes the page itself, and what another writer puts there comes as base64. Such a page is still counted as malformed and read again after a pause.

--- a/hawthorntrack/platform/formats.py
+++ b/hawthorntrack/platform/formats.py
@@ -1,13 +1,17 @@
 """Bodies on the wire, decoded into the project's types and back."""
 
 import base64
+import re
 from collections.abc import Iterable
-from typing import Any
+from typing import Annotated, Any, Literal
 
 import msgspec
 
+from hawthorntrack.state.addresses import split_address
 from hawthorntrack.state.catalogue import Catalogue, Limits, Queue, Service
 from hawthorntrack.state.directives import Directives, Member, StoreRow
+from hawthorntrack.state.events import log_event
+from hawthorntrack.state.metrics import BAD_INPUT, labelled
 from hawthorntrack.state.plans import (
     JobPlan,
     RunEnd,
@@ -24,9 +28,16 @@
 SETTINGS_VARIABLE = "HAWTHORNTRACK_BOOT"  # holds the path of the settings file
 CONFIG_KEY = "config"
 ZONE_OUT_PREFIX = "evacuate/"
-STATES = {"ready", "draining"}
+LARGEST = 2**53 - 1  # exact in every JSON reader, and far from all overflows
+TARGET_ID = re.compile(r"[!-.0-~]{1,200}")  # goes into a header and into paths
+SHOWN_CHARS = 100  # of an entry that cannot be read, in a log line
+
+# What is used in arithmetic, or sent on, is bounded here once.
+Count = Annotated[int, msgspec.Meta(ge=0, le=LARGEST)]
+Amount = Annotated[float, msgspec.Meta(ge=0, le=LARGEST)]
+Text = Annotated[str, msgspec.Meta(max_length=200)]
+Labels = Annotated[tuple[Text, ...], msgspec.Meta(max_length=100)]
 
-decode_json = msgspec.json.Decoder().decode
 encode_json = msgspec.json.Encoder().encode
 
 
@@ -34,6 +45,28 @@
     """A body that is not what its call carries; the message says where."""
 
 
+def decoded(decoder: msgspec.json.Decoder, body: bytes) -> Any:
+    """Return what a body holds.
+
+    Raises
+    ------
+    Malformed
+        Whatever is wrong with it; nesting without end is a `RecursionError`.
+    """
+    try:
+        return decoder.decode(body)
+    except (ValueError, RecursionError) as error:
+        raise Malformed(str(error)) from error
+
+
+def pass_over(edge: str, entry: str, problem: object) -> None:
+    """Count and log an entry that cannot be read, so that the others hold."""
+    labelled(BAD_INPUT, edge, "entry").inc()
+    log_event(
+        "entry:unreadable", edge=edge, entry=entry[:SHOWN_CHARS], problem=str(problem)
+    )
+
+
 def task_text(name: TaskName) -> str:
     """Return a task's name on the wire.
 
@@ -57,13 +90,6 @@
     return TaskName(job, int(occurrence), int(step), int(index))
 
 
-def resources_of(body: Any) -> Resources:
-    """Return amounts; a field that is left out is 0."""
-    return Resources(
-        int(body.get("cpu", 0)), int(body.get("mem_mb", 0)), int(body.get("gpu", 0))
-    )
-
-
 class StepFields(msgspec.Struct):
     """What `msgspec` checks of a step before it is translated."""
 
@@ -98,10 +124,7 @@
     Malformed
         If the body is no job, or its steps refer to steps that do not come before.
     """
-    try:
-        fields = job_decoder.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        raise Malformed(str(error)) from error
+    fields = decoded(job_decoder, body)
     for number, step in enumerate(fields.steps):
         if step.count < 1 or any(not 0 <= before < number for before in step.after):
             raise Malformed(f"step {number} has no tasks or waits for a later step")
@@ -127,52 +150,80 @@
     )
 
 
+class CapacityFields(msgspec.Struct, frozen=True):
+    """What a target has in all; a field that is left out is 0."""
+
+    cpu: Count = 0
+    mem_mb: Count = 0
+    gpu: Count = 0
+
+
 class BeatFields(msgspec.Struct):
     """A target's heartbeat."""
 
-    service: str
+    service: Text
     address: str
-    zone: str
-    state: str
-    seq: int
-    capacity: dict[str, int] = {}
-    labels: tuple[str, ...] = ()
-    clock_ms: int = 0
-    born: int = 0
+    zone: Text
+    state: Literal["ready", "draining"]
+    seq: Count
+    capacity: CapacityFields = CapacityFields()
+    labels: Labels = ()
+    clock_ms: Count = 0
+    born: Count = 0
 
 
 beat_decoder = msgspec.json.Decoder(BeatFields)
 
 
+def check_target(target: str, address: str) -> None:
+    """Refuse a target that no order could be sent to."""
+    try:
+        split_address(address)
+    except ValueError as error:
+        raise Malformed(str(error)) from error
+    if not TARGET_ID.fullmatch(target):
+        raise Malformed(f"{target[:SHOWN_CHARS]!r} is no id of a target")
+
+
 def target_state_of(target: str, body: bytes) -> TargetState:
     """Return what a target says of itself.
 
     Raises
     ------
     Malformed
-        If fields are missing or of another type, or the state is unknown: it then
-        names no target to use.
+        If fields are missing, of another type or out of range, or the state is
+        unknown: it then names no target to use.
     """
-    try:
-        beat = beat_decoder.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        raise Malformed(str(error)) from error
-    if beat.state not in STATES or ":" not in beat.address:
-        raise Malformed(f"state {beat.state!r}, address {beat.address!r}")
+    beat = decoded(beat_decoder, body)
+    check_target(target, beat.address)
     return TargetState(
         TargetLife(target, beat.born),
         beat.service,
         beat.address,
         beat.zone,
         beat.state == "draining",
-        resources_of(beat.capacity),
+        Resources(beat.capacity.cpu, beat.capacity.mem_mb, beat.capacity.gpu),
         beat.labels,
         beat.seq,
         beat.clock_ms,
     )
 
 
-target_state_decoder = msgspec.json.Decoder(TargetState)
+class RememberedFields(msgspec.Struct, array_like=True):
+    """The row that remembers a target: a `TargetState`, in its order."""
+
+    life: tuple[str, Count]
+    service: Text
+    address: str
+    zone: Text
+    draining: bool
+    capacity: tuple[Count, Count, Count]
+    labels: Labels
+    sequence: Count
+    clock_ms: Count
+
+
+remembered_decoder = msgspec.json.Decoder(RememberedFields)
 
 
 def target_value(state: TargetState) -> bytes:
@@ -183,24 +234,52 @@
 def remembered_target(value: bytes) -> TargetState | None:
     """Return the target that a row remembers, None if it cannot be read."""
     try:
-        return target_state_decoder.decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        fields = decoded(remembered_decoder, value)
+        check_target(fields.life[0], fields.address)
+    except Malformed as error:
+        pass_over("store", "remembered target", error)
         return None
+    return TargetState(
+        TargetLife(*fields.life),
+        fields.service,
+        fields.address,
+        fields.zone,
+        fields.draining,
+        Resources(*fields.capacity),
+        fields.labels,
+        fields.sequence,
+        fields.clock_ms,
+    )
 
 
-class HoldFields(msgspec.Struct):
-    """A target's lists of runs.
+TaskText = Annotated[str, msgspec.Meta(pattern=r"^[^.]{1,100}(\.[0-9]{1,9}){3}\Z")]
 
-    Attributes
-    ----------
-    running : rows of task, run, checkpoint, percent and a usage figure
-    ended : rows of number, task, run, how and checkpoint
-    """
 
-    clock_ms: int
-    running: list[tuple[Any, ...]] = []
-    ended: list[tuple[Any, ...]] = []
-    born: int = 0
+class RunningFields(msgspec.Struct, array_like=True):
+    """A run that goes on; a usage figure may follow."""
+
+    task: TaskText
+    run: Count
+    checkpoint: Any
+    percent: Amount
+
+
+class EndedFields(msgspec.Struct, array_like=True):
+    """A run that has ended; its checkpoint follows."""
+
+    number: Count
+    task: TaskText
+    run: Count
+    how: Text
+
+
+class HoldFields(msgspec.Struct):
+    """A target's lists of runs."""
+
+    clock_ms: Count
+    running: list[RunningFields] = []
+    ended: list[EndedFields] = []
+    born: Count = 0
 
 
 hold_decoder = msgspec.json.Decoder(HoldFields)
@@ -214,21 +293,37 @@
     Malformed
         If the body is not such an answer.
     """
-    try:
-        lists = hold_decoder.decode(body)
-        running = tuple(
-            RunStatus(RunName(task_name(row[0]), row[1]), int(row[3]))
-            for row in lists.running
-        )
-        ended = tuple(
-            RunEnd(row[0], RunName(task_name(row[1]), row[2]), row[3])
-            for row in lists.ended
-        )
-    except (msgspec.DecodeError, ValueError, IndexError, AttributeError) as error:
-        raise Malformed(str(error)) from error
+    lists = decoded(hold_decoder, body)
+    running = tuple(
+        RunStatus(RunName(task_name(row.task), row.run), int(row.percent))
+        for row in lists.running
+    )
+    ended = tuple(
+        RunEnd(row.number, RunName(task_name(row.task), row.run), row.how)
+        for row in lists.ended
+    )
     return lists.clock_ms, lists.born, running, ended
 
 
+class AnswerFields(msgspec.Struct):
+    """A target's short answer to an order."""
+
+    clock_ms: Count = 0
+    reason: str = ""
+
+
+answer_decoder = msgspec.json.Decoder(AnswerFields)
+
+
+def answer_of(body: bytes) -> AnswerFields:
+    """Return a target's short answer; one that cannot be read tells nothing."""
+    try:
+        return decoded(answer_decoder, body)
+    except Malformed as error:
+        pass_over("target", "answer", error)
+        return AnswerFields()
+
+
 class RouteFields(msgspec.Struct):
     """A queue as the configuration spells it: `hostname` is what callers name."""
 
@@ -236,10 +331,10 @@
     hostname: str
     path_prefix: str
     service: str
-    target_latency_ms: float = 0
+    target_latency_ms: Amount = 0
     priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
+    max_attempts: Count = 1
+    stretch: Amount = 1.0
 
 
 class ServiceFields(msgspec.Struct):
@@ -252,14 +347,14 @@
 class LimitFields(msgspec.Struct, frozen=True):
     """Bounds on callers' requests."""
 
-    max_body_bytes: int = Limits().body_bytes
-    max_header_bytes: int = Limits().header_bytes
+    max_body_bytes: Count = Limits().body_bytes
+    max_header_bytes: Count = Limits().header_bytes
 
 
 class ConfigFields(msgspec.Struct):
     """The configuration row."""
 
-    version: int
+    version: Count
     routes: list[RouteFields] = []
     services: list[ServiceFields] = []
     limits: LimitFields = LimitFields()
@@ -276,10 +371,7 @@
     Malformed
         If the row holds no configuration.
     """
-    try:
-        config = config_decoder.decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        raise Malformed(str(error)) from error
+    config = decoded(config_decoder, value)
     return Catalogue(
         config.version,
         tuple(
@@ -324,21 +416,48 @@
     """A row: `deleted` marks one that a transaction removed."""
 
     key: str
-    ver: int = 0
-    value: str = ""
+    ver: Count = 0
+    value: msgspec.Raw = msgspec.Raw(b'""')
     deleted: bool = False
-    part: str = ""
 
 
 class RowsFields(msgspec.Struct):
     """An answer with rows; `ver` is the store's newest version."""
 
-    ver: int
-    rows: list[RowFields] = []
+    ver: Count
+    rows: list[msgspec.Raw] = []
     more_pages: bool = False
 
 
+row_decoder = msgspec.json.Decoder(RowFields)
 rows_decoder = msgspec.json.Decoder(RowsFields)
+value_decoder = msgspec.json.Decoder(str)
+
+
+def row_of(body: bytes) -> StoreRow:
+    """Return a row; one whose value cannot be read is there and holds nothing.
+
+    Raises
+    ------
+    Malformed
+        If it has no key or no version.
+    """
+    row = decoded(row_decoder, body)
+    try:
+        value = base64.b64decode(decoded(value_decoder, row.value), validate=True)
+    except ValueError as error:
+        pass_over("store", row.key, error)
+        value = b""
+    return StoreRow(row.key, value, row.ver, row.deleted)
+
+
+def readable_rows(bodies: Iterable[msgspec.Raw]) -> Iterable[StoreRow]:
+    """Yield the rows that can be read."""
+    for body in bodies:
+        try:
+            yield row_of(body)
+        except Malformed as error:
+            pass_over("store", bytes(body).decode(errors="replace"), error)
 
 
 def page_of(body: bytes) -> tuple[Changes, bool]:
@@ -349,15 +468,8 @@
     Malformed
         If the body is no such answer.
     """
-    try:
-        page = rows_decoder.decode(body)
-        rows = tuple(
-            StoreRow(row.key, base64.b64decode(row.value), row.ver, row.deleted)
-            for row in page.rows
-        )
-    except (msgspec.DecodeError, ValueError) as error:
-        raise Malformed(str(error)) from error
-    return Changes(rows, page.ver), page.more_pages
+    page = decoded(rows_decoder, body)
+    return Changes(tuple(readable_rows(page.rows)), page.ver), page.more_pages
 
 
 def write_body(table: str, key: str, value: bytes) -> bytes:
@@ -370,9 +482,9 @@
 class MemberFields(msgspec.Struct):
     """A member's row; its key is the address."""
 
-    role: str
-    zone: str
-    node: str
+    role: Literal["entry", "guard"]
+    zone: Text
+    node: Text
 
 
 member_decoder = msgspec.json.Decoder(MemberFields)
@@ -388,8 +500,10 @@
     members = []
     for row in rows:
         try:
-            fields = member_decoder.decode(row.value)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+            split_address(row.key)
+            fields = decoded(member_decoder, row.value)
+        except ValueError as error:
+            pass_over("store", row.key, error)
             continue
         members.append(Member(row.key, fields.role, fields.zone, fields.node))
     return tuple(members)
--- a/hawthorntrack/platform/standins.py
+++ b/hawthorntrack/platform/standins.py
@@ -7,12 +7,12 @@
 from typing import Any, Protocol
 
 import aiohttp
+import msgspec
 from aiohttp import web
 
 from hawthorntrack.platform.formats import (
     CONFIG_KEY,
     ZONE_OUT_PREFIX,
-    decode_json,
     encode_json,
     task_name,
     task_text,
@@ -213,7 +213,7 @@
 @store_calls.register("rows-tx")
 async def write_rows(store: StandInStore, request: web.BaseRequest) -> web.Response:
     """Write rows without conditions; the product has none."""
-    body = decode_json(await request.read())
+    body = msgspec.json.decode(await request.read())
     for entry in body.get("set_keys", ()):
         if entry["table"] == OPERATOR_TABLE:
             return json_response({}, 403)
@@ -319,7 +319,7 @@
             return json_response({}, 404)
         if request.headers.get(INSTANCE_HEADER) != self.runner.life.id:
             return json_response({}, 421)
-        body = decode_json(await request.read())
+        body = msgspec.json.decode(await request.read())
         target = Address(self.runner.life, self.address)
         order = target_calls[request.path](target, body)
         reply = asyncio.get_running_loop().create_future()
--- a/hawthorntrack/platform/targets.py
+++ b/hawthorntrack/platform/targets.py
@@ -7,8 +7,9 @@
 from aiohttp import web
 
 from hawthorntrack.platform.formats import (
+    SHOWN_CHARS,
     Malformed,
-    decode_json,
+    answer_of,
     encode_json,
     lists_of,
     target_state_of,
@@ -144,14 +145,13 @@
             return not_connected(error), 0
         except ERRORS:
             return "unanswered", 0
-        answer = fields_of(data)
-        clock_ms = int(answer.get("clock_ms", 0))
+        answer = answer_of(data)
         if status == 200:
-            return success, clock_ms
+            return success, answer.clock_ms
         if status == 409:
-            reason = str(answer.get("reason", ""))
-            return REFUSALS_BY_REASON.get(reason, "invalid"), clock_ms
-        return REFUSALS_BY_STATUS.get(status, "unwell"), clock_ms
+            outcome = REFUSALS_BY_REASON.get(answer.reason, "invalid")
+            return outcome, answer.clock_ms
+        return REFUSALS_BY_STATUS.get(status, "unwell"), answer.clock_ms
 
     async def order_hold(self, order: HoldOrder) -> None:
         """Renew the lease and report the lists."""
@@ -171,7 +171,7 @@
                 clock_ms, born_ms, running, ended = lists_of(data)
                 reply = HoldReply(order, "held", clock_ms, born_ms, running, ended)
             elif status == 409:
-                reason = str(fields_of(data).get("reason", ""))
+                reason = answer_of(data).reason
                 reply = HoldReply(order, REFUSALS_BY_REASON.get(reason, "unwell"))
             else:
                 reply = HoldReply(order, REFUSALS_BY_STATUS.get(status, "unwell"))
@@ -191,16 +191,6 @@
     return "unreachable" if refused else "unsent"
 
 
-def fields_of(data: bytes) -> dict[str, Any]:
-    """Return the fields of a short answer; an unreadable one has none."""
-    try:
-        answer = decode_json(data)
-    except ValueError:
-        labelled(BAD_INPUT, "target", "answer").inc()
-        return {}
-    return answer if isinstance(answer, dict) else {}
-
-
 class HeartbeatFront:
     """Takes the announcements of the target beside this guard.
 
@@ -227,7 +217,7 @@
             self.news.put(Announced(target_state_of(target, await request.read())))
         except Malformed as error:
             labelled(BAD_INPUT, "heartbeat", "malformed").inc()
-            self.news.put(Announced(str(error)))
+            self.news.put(Announced(f"{target[:SHOWN_CHARS]!r}: {error}"))
         return json_response({})
 
 
