Show that a caller's numbers end an entry instance

A deadline of 20 digits in the header, or an estimate of 2**64 ms in a step, goes on into the order that starts runs, which carries integers of 64 bits: "OverflowError: can't serialize ints < -2**63 or > 2**64 - 1". With 400 digits the request alone fails ("integer division result too large for a float"). A step of 10**9 tasks is taken, and memory is set aside for each of them.

--- a/hawthorntrack/platform/tests/test_foreign_bodies.py
+++ b/hawthorntrack/platform/tests/test_foreign_bodies.py
@@ -1,18 +1,24 @@
 """Bodies of other writers, through their decoder and whoever uses what it returns."""
 
 import asyncio
+import json
+from types import SimpleNamespace
 
 import aiohttp
 import pytest
 
 from hawthorntrack.coordination.follower import StoreAnswer
 from hawthorntrack.coordination.remembering import TargetMemory
+from hawthorntrack.coordination.tests.test_dispatcher import CALLER, ONE, Entry
 from hawthorntrack.coordination.tests.test_follower import Scene
 from hawthorntrack.platform import formats
 from hawthorntrack.platform.formats import Malformed
+from hawthorntrack.platform.front import DEADLINE_HEADER, deadline_of
 from hawthorntrack.platform.targets import HeartbeatFront, TargetCalls
 from hawthorntrack.platform.tests.conftest import NO_JSON, with_field
+from hawthorntrack.protocol.codec import codecs
 from hawthorntrack.protocol.links import Dial
+from hawthorntrack.protocol.messages import Envelope
 from hawthorntrack.protocol.orders import (
     Address,
     Announced,
@@ -42,6 +48,11 @@
     *(("running", 0), *(("running", 0, n) for n in range(5))),
     *(("ended", 0), *(("ended", 0, n) for n in range(5))),
 ]
+JOB = {"best_effort": True, "steps": [{"count": 2, "cpu": 1600, "estimate_ms": 400}]}
+STEP_FIELDS = [
+    *("cpu", "mem_mb", "gpu", "estimate_ms", "after", "requires", "affinity"),
+    *("anti_affinity", "speculative", "more"),
+]
 REMEMBERED_FIELDS = [
     *((place,) for place in range(9)),
     *((0, 0), (0, 1), (5, 0), (5, 1), (5, 2), (6, 0)),
@@ -269,3 +280,50 @@
 def test_configuration_that_is_no_document_is_malformed(odd_document):
     with pytest.raises(Malformed):
         formats.catalogue_of(odd_document)
+
+
+@pytest.fixture
+def entry():
+    """Return an entry instance with a guard that has room."""
+    loop = asyncio.new_event_loop()
+    made = Entry(loop)
+    made.direct()
+    made.link(ONE)
+    yield made
+    loop.close()
+
+
+def check_job(entry, **submission):
+    """Have an entry instance place a job, and encode all that it sends."""
+    entry.submit(**submission)
+    entry.wait(0.1)
+    for _, body in entry.sent:
+        codecs["msgpack"].encode(Envelope(CALLER, 1, body))
+
+
+@pytest.mark.parametrize("field", STEP_FIELDS)
+def test_odd_step_of_a_caller_ends_no_entry(entry, field, odd_value):
+    body = with_field(JOB, ["steps", 0, field], odd_value)
+    try:
+        plan = formats.plan_of(KEY, body)
+    except Malformed:
+        return
+    check_job(entry, steps=plan.steps)
+
+
+@pytest.mark.parametrize(
+    "steps", [[10**9], [2**63], [10**400], [-1], [6_000, 6_000], [160] * 1_000]
+)
+def test_job_of_too_many_tasks_is_refused(steps):
+    body = {"steps": [{"count": count} for count in steps]}
+    with pytest.raises(Malformed):
+        formats.plan_of(KEY, json.dumps(body).encode())
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["9" * 20, "9" * 400, "9" * 5_000, "-5", "-" + "9" * 20, "nan", "1e400", "", "1.5"],
+)
+def test_odd_deadline_of_a_caller_ends_no_entry(entry, text):
+    deadline_s = deadline_of(SimpleNamespace(headers={DEADLINE_HEADER: text}))
+    check_job(entry, deadline_s=deadline_s)
