Bound what a caller's request says

Cause: the header and the steps of a job were decoded into integers of any size; the order that starts runs carries 64 bits.

A job beyond them is answered 400, as any body that is no job.

Ruled out: bounding in the dispatcher, which would have to know what its messages are encoded in.

--- a/hawthorntrack/platform/formats.py
+++ b/hawthorntrack/platform/formats.py
@@ -30,6 +30,7 @@
 ZONE_OUT_PREFIX = "evacuate/"
 LARGEST = 2**53 - 1  # exact in every JSON reader, and far from all overflows
 TARGET_ID = re.compile(r"[!-.0-~]{1,200}")  # goes into a header and into paths
+TASKS_MOST = 10_000  # of one job; callers hand in up to 160
 SHOWN_CHARS = 100  # of an entry that cannot be read, in a log line
 
 # What is used in arithmetic, or sent on, is bounded here once.
@@ -93,15 +94,15 @@
 class StepFields(msgspec.Struct):
     """What `msgspec` checks of a step before it is translated."""
 
-    count: int
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimate_ms: int = 0
-    after: tuple[int, ...] = ()
-    requires: str = ""
-    affinity: str = ""
-    anti_affinity: int = 0
+    count: Annotated[int, msgspec.Meta(ge=1, le=TASKS_MOST)]
+    cpu: Count = 0
+    mem_mb: Count = 0
+    gpu: Count = 0
+    estimate_ms: Count = 0
+    after: tuple[Count, ...] = ()
+    requires: Text = ""
+    affinity: Text = ""
+    anti_affinity: Count = 0
     speculative: bool = False
 
 
@@ -122,14 +123,17 @@
     Raises
     ------
     Malformed
-        If the body is no job, or its steps refer to steps that do not come before.
+        If the body is no job, has too many tasks, or its steps refer to steps that
+        do not come before.
     """
     fields = decoded(job_decoder, body)
     for number, step in enumerate(fields.steps):
-        if step.count < 1 or any(not 0 <= before < number for before in step.after):
-            raise Malformed(f"step {number} has no tasks or waits for a later step")
+        if any(before >= number for before in step.after):
+            raise Malformed(f"step {number} waits for a later step")
     if not fields.steps:
         raise Malformed("a job without steps")
+    if sum(step.count for step in fields.steps) > TASKS_MOST:
+        raise Malformed(f"a job has at most {TASKS_MOST} tasks: split it into several")
     return JobPlan(
         key,
         fields.spec,
--- a/hawthorntrack/platform/front.py
+++ b/hawthorntrack/platform/front.py
@@ -30,6 +30,7 @@
 
 DEADLINE_HEADER = "Hawthorntrack-Deadline-Ms"
 DEFAULT_DEADLINE_S = 30.0
+LONGEST_DEADLINE_MS = 3_600_000  # as of the product's own interface
 KEY_DIGITS = 16
 HEX = frozenset("0123456789abcdefABCDEF")
 READY_PATH = "/v1/ready"
@@ -114,9 +115,10 @@
 def deadline_of(request: web.BaseRequest) -> float:
     """Return how long the caller waits, in seconds."""
     try:
-        return int(request.headers[DEADLINE_HEADER]) / 1000
+        deadline_ms = int(request.headers[DEADLINE_HEADER])
     except (KeyError, ValueError):
         return DEFAULT_DEADLINE_S
+    return min(max(deadline_ms, 0), LONGEST_DEADLINE_MS) / 1000
 
 
 class CallersFront:
