Show that an address without a usable port ends the process that dials it

What callers saw: processes that read a list with a port out of range ended again and again.

`loop.create_connection` raises OverflowError for a port out of range, ValueError for a null character and UnicodeError for a label too long; the task that keeps a link catches errors of the socket alone, so its failure ends the process ("OverflowError: connect(): port must be 0-65535"). Addresses of members of the store are refused since the bounds on decoding; those that peers tell (the first message on a link, the members that it knows) still arrive here, and an entry instance tells them on to the others.

--- a/hawthorntrack/conftest.py
+++ b/hawthorntrack/conftest.py
@@ -17,6 +17,22 @@
 SEED = 20_261_204
 FIRST_PORT = 18_000
 PORTS_PER_WORKER = 2_000  # test files that run side by side do not share any
+ODD_ADDRESSES = {
+    "port_0": "10.0.0.2:0",
+    "port_65536": "10.0.0.2:65536",
+    "port_99999": "10.0.0.2:99999",
+    "port_negative": "10.0.0.2:-1",
+    "port_beyond_64_bits": "10.0.0.2:18446744073709551616",
+    "port_of_letters": "10.0.0.2:http",
+    "port_of_other_digits": "10.0.0.2:\u0668\u0660",
+    "no_port": "10.0.0.2",
+    "empty": "",
+    "only_a_colon": ":",
+    "null_character": "a\0b:80",
+    "long_label": "x" * 100 + ":80",
+    "not_ascii": "\u00e9" * 80 + ":80",
+    "path": "10.0.0.2/x:80",
+}
 
 
 @pytest.fixture
@@ -113,6 +129,12 @@
     return TargetLoad("visits", ("confirm", "reroute", "check"), 8, 0, 0, 1.0)
 
 
+@pytest.fixture(params=ODD_ADDRESSES.values(), ids=ODD_ADDRESSES)
+def odd_address(request: pytest.FixtureRequest) -> str:
+    """Return a text that is no address."""
+    return request.param
+
+
 LONG_FIRST = ("test_processes.py", "test_searches.py", "test_tool.py")
 
 
--- a/hawthorntrack/platform/tests/conftest.py
+++ b/hawthorntrack/platform/tests/conftest.py
@@ -61,22 +61,6 @@
     "nested": NESTED,
     "nested_in_a_skipped_field": b'{"more":' + NESTED + b"}",
 }
-ODD_ADDRESSES = {
-    "port_0": "10.0.0.2:0",
-    "port_65536": "10.0.0.2:65536",
-    "port_99999": "10.0.0.2:99999",
-    "port_negative": "10.0.0.2:-1",
-    "port_beyond_64_bits": "10.0.0.2:18446744073709551616",
-    "port_of_letters": "10.0.0.2:http",
-    "port_of_other_digits": "10.0.0.2:\u0668\u0660",
-    "no_port": "10.0.0.2",
-    "empty": "",
-    "only_a_colon": ":",
-    "null_character": "a\0b:80",
-    "long_label": "x" * 100 + ":80",
-    "not_ascii": "\u00e9" * 80 + ":80",
-    "path": "10.0.0.2/x:80",
-}
 
 
 def with_field(body, path, value):
@@ -121,12 +105,6 @@
     return request.param
 
 
-@pytest.fixture(params=ODD_ADDRESSES.values(), ids=ODD_ADDRESSES)
-def odd_address(request):
-    """Return a text that is no address."""
-    return request.param
-
-
 @pytest.fixture
 def with_server():
     """Return a function that runs a test against an HTTP server on a free port."""
--- a/hawthorntrack/transport/tests/test_streams.py
+++ b/hawthorntrack/transport/tests/test_streams.py
@@ -122,3 +122,16 @@
         assert (await two.got.get()).body == DropJob("k")
 
     with_peers(scene)
+
+
+def test_peer_at_an_address_that_is_none_ends_no_link(with_peers, odd_address):
+    async def scene(one, two):
+        await greeted(one)
+        one.bus.mailbox.put(Dial(odd_address))
+        one.bus.mailbox.put(Send(two.bus.me.address, DropJob("after")))
+        await greeted(two)
+        assert (await two.got.get()).body == DropJob("after")
+        assert list(one.bus.dialled) == [two.bus.me.address]
+        assert not one.task.done()
+
+    with_peers(scene)
