Refuse to dial what is no address

Change: the owner of the links splits an address before it keeps a link to it, by the function that the platform's decoders use; what is none is counted and logged.

Ruled out: catching every error in the loop that dials. It would dial such an address for ever.

--- a/hawthorntrack/transport/streams.py
+++ b/hawthorntrack/transport/streams.py
@@ -19,6 +19,8 @@
 )
 from hawthorntrack.protocol.messages import Envelope
 from hawthorntrack.state.actor import Actor, handles
+from hawthorntrack.state.addresses import split_address
+from hawthorntrack.state.events import log_event
 from hawthorntrack.state.metrics import (
     BAD_INPUT,
     BUS_DROPS,
@@ -223,7 +225,13 @@
         """Keep a link to a peer."""
         if order.address in self.dialled or order.address == self.me.address:
             return
-        task = asyncio.get_running_loop().create_task(self.keep(order.address))
+        try:
+            host, port = split_address(order.address)
+        except ValueError as error:
+            labelled(BAD_INPUT, "link", "address").inc()
+            log_event("link:no_address", problem=str(error))
+            return
+        task = asyncio.get_running_loop().create_task(self.keep(host, port))
         self.dialled[order.address] = task
         self.spawned.add(task)
         task.add_done_callback(self.settle)
@@ -243,17 +251,14 @@
             task.cancel()
         self.hang_up(Hangup(order.address), sender)
 
-    async def keep(self, address: str) -> None:
+    async def keep(self, host: str, port: int) -> None:
         """Dial a peer whenever no link to it is up."""
-        host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         pause_s = FIRST_REDIAL_S
         while True:
             try:
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                    _, link = await loop.create_connection(
-                        self.new_link, host, int(port)
-                    )
+                    _, link = await loop.create_connection(self.new_link, host, port)
             except (OSError, TimeoutError):
                 pause_s = min(LONGEST_REDIAL_S, pause_s * 2)
             else:
