Show that an unreadable configuration hides zones taken out

What callers saw: not reported; found while looking for odd entries that hide good ones. Rows that change together with a configuration that cannot be read are dropped with it. A zone that is taken out in the same answer of the store stays in service until the table is read whole: after the next readable configuration "dict_keys(['config']) == {'config', 'out/recife'}" fails.

Members are decoded anew, all of them, with each change of the table, so one row that cannot be read is counted and logged each time.

--- a/hawthorntrack/coordination/tests/test_follower.py
+++ b/hawthorntrack/coordination/tests/test_follower.py
@@ -224,3 +224,35 @@
     assert "10.0.0.7:1" in scene.dialled()
     spread = [body for to, body in scene.sent if to == PEER.address]
     assert KnownMembers((("10.0.0.8:1", "guard", "olinda", "side-1"),)) in spread
+
+
+@pytest.mark.parametrize("whole", [True, False])
+def test_unreadable_configuration_hides_no_zone(run, scene, whole):
+    out = StoreRow("out/recife", b"", 8)
+    changes = Changes((StoreRow("config", b"?", 9), out), 9)
+    scene.store.reads["op"] = [Changes((config(3, 5),), 6)]
+    scene.store.watches["op"] = [HistoryGone()] if whole else [changes]
+    scene.store.reads["op"] += [changes] if whole else []
+    scene.store.watches["op"] += [Changes((config(5, 12),), 12)]
+    run(scene.settle())
+    assert scene.versions() == [(3, 6), (3, 9), (5, 12)]
+    assert scene.follower.rows.keys() == {"config", "out/recife"}
+
+
+def test_unreadable_configuration_at_the_start_hides_no_zone(run, scene):
+    out = StoreRow("out/recife", b"", 8)
+    scene.store.reads["op"] = [Changes((StoreRow("config", b"?", 9), out), 9)]
+    scene.store.watches["op"] = [Changes((config(5, 12),), 12)]
+    run(scene.settle())
+    assert scene.versions()[-1] == (5, 12)
+    assert scene.follower.rows.keys() == {"config", "out/recife"}
+
+
+def test_member_row_that_cannot_be_read_is_looked_at_once(run, scene):
+    seen = []
+    scene.follower.decode_members = lambda rows: seen.extend(rows) or ()
+    first, second = StoreRow("x", b"?", 1), StoreRow("10.0.0.5:1", b"", 2)
+    scene.store.reads["members"] = [Changes((first,), 1)]
+    scene.store.watches["members"] = [Changes((second,), 2)]
+    run(scene.settle())
+    assert seen == [first, second]
