Keep the other rows when a configuration cannot be read

Change: where the operator's rows cannot be read as a whole, each is tried by itself, and one that cannot be read leaves its earlier version in force; all others are put in force. A process that has nothing in force yet keeps the readable rows without a stamp, so that it asks a peer, as before. Members are decoded from the rows that changed; those that were known stay known anyway, so the rows themselves are no longer kept.

Ruled out: decoding row by row always. A large configuration would be decoded twice for each change; now that happens only when one cannot be read.

--- a/hawthorntrack/coordination/follower.py
+++ b/hawthorntrack/coordination/follower.py
@@ -99,7 +99,6 @@
         self.subscribers = subscribers
         self.rows: dict[str, StoreRow] = {}
         self.stamp = 0
-        self.member_rows: dict[str, StoreRow] = {}
         self.members: dict[str, Member] = {}
         self.asked_at = 0.0
         self.reachable: dict[str, bool] = {}
@@ -173,9 +172,8 @@
             rows = merge_rows(before, answer.outcome.rows)
             self.adopt(rows, answer.outcome.version)
         else:
-            before = {} if answer.whole else self.member_rows
-            self.member_rows = merge_rows(before, answer.outcome.rows)
-            self.add_members(self.decode_members(self.member_rows.values()))
+            rows = [row for row in answer.outcome.rows if not row.removed]
+            self.add_members(self.decode_members(rows))
 
     def adopt(self, rows: dict[str, StoreRow], stamp: int) -> None:
         """Put rows in force, unless something newer is."""
@@ -187,9 +185,8 @@
             return
         try:
             directives = self.decode(rows, stamp)
-        except ValueError as error:
-            labelled(BAD_INPUT, "store", "config").inc()
-            log_event("directives:unreadable", problem=str(error), as_of=stamp)
+        except ValueError:
+            self.adopt_readable(rows, stamp)
             return
         self.rows, self.stamp = rows, stamp
         CONFIG_STAMP.set(stamp)
@@ -197,6 +194,29 @@
         for mailbox in self.subscribers:
             mailbox.put(DirectivesChanged(directives))
 
+    def adopt_readable(self, rows: dict[str, StoreRow], stamp: int) -> None:
+        """Put rows in force, with the earlier ones of those that cannot be read."""
+        unreadable = {key for key, row in rows.items() if not self.reads(row, stamp)}
+        earlier = {key: self.rows[key] for key in unreadable & self.rows.keys()}
+        readable = {key: row for key, row in rows.items() if key not in unreadable}
+        if self.stamp and unreadable:
+            self.adopt(readable | earlier, stamp)
+        else:
+            # Without a stamp, this process asks a peer that has some in force.
+            self.rows = readable
+
+    def reads(self, row: StoreRow, stamp: int) -> bool:
+        """Return whether a row can be read by itself."""
+        try:
+            self.decode({row.key: row}, stamp)
+        except ValueError as error:
+            labelled(BAD_INPUT, "store", "config").inc()
+            log_event(
+                "directives:unreadable", key=row.key, problem=str(error), as_of=stamp
+            )
+            return False
+        return True
+
     def add_members(self, members: tuple[Member, ...]) -> None:
         """Link up with members: guards always, entries from one side only."""
         for member in members:
