Show that a heartbeat of another writer displaces a guard's target

What callers saw: not reported by itself; a well-formed heartbeat of another writer names no target to use, and the real one must hold.

A guard reports the target with the newest birth, whether or not it has ever answered. So a heartbeat with another id and a later birth takes the place of the real one: room "('unwell', 'odd', 't2')" in place of "('ready', 'visits', 't1')". One with the id and birth of the real target changes its service and its address; orders then go to that address. Each is also written into the store as the target to begin with after a restart.

--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -113,7 +113,7 @@
         self.sent = [item for item in self.sent if type(item[1]) is not kind]
         return found
 
-    def announce(self, life=LIFE, sequence=1, draining=False):
+    def announce(self, life=LIFE, sequence=1, draining=False, **changes):
         state = TargetState(
             life,
             "visits",
@@ -125,7 +125,7 @@
             sequence,
             5_000,
         )
-        self.tell(Announced(state))
+        self.tell(Announced(state._replace(**changes)))
 
     def answer_holds(self, running=(), ended=(), outcome="held"):
         """Answer all holds that were sent, with the same lists."""
@@ -1060,3 +1060,63 @@
     (stop,) = guard.orders(StopOrder)
     finish_stop(guard, stop)
     assert guard.messages(RunsEnded) == []
+
+
+FOREIGN = [
+    (TargetLife("t2", 900), {"service": "odd", "address": "10.9.9.9:80"}),
+    (TargetLife("t2", 900), {"address": "10.9.9.9:80"}),
+    (TargetLife("t1", 900), {"service": "odd"}),
+    (LIFE, {"service": "odd"}),
+    (LIFE, {"address": "10.9.9.9:80"}),
+    (LIFE, {"service": "odd", "draining": True}),
+]
+
+
+def refuse_foreign_calls(guard):
+    """Answer the calls to the target, and none to another address or id."""
+    for order in guard.orders(HoldOrder):
+        ours = (order.target.life.id, order.target.address) == ("t1", "10.0.0.1:80")
+        outcome = "held" if ours else "unreachable"
+        guard.tell(HoldReply(order, outcome, 5_000, 100 if ours else 0))
+
+
+@pytest.mark.parametrize(("life", "changes"), FOREIGN)
+def test_heartbeat_of_another_writer_displaces_no_target(guard, life, changes):
+    guard.announce(life, 7, **changes)
+    refuse_foreign_calls(guard)
+    room = guard.holder.room()
+    assert (room.standing, room.service, room.target) == ("ready", "visits", "t1")
+    guard.order_runs()
+    (start,) = guard.orders(StartOrder)
+    assert start.target == (LIFE, "10.0.0.1:80")
+
+
+@pytest.mark.parametrize(
+    ("life", "changes"), [case for case in FOREIGN if "address" in case[1]]
+)
+def test_target_is_used_though_another_writer_came_first(run, life, changes):
+    guard = Guard()
+    guard.announce(life, 7, **changes)
+    refuse_foreign_calls(guard)
+    guard.announce(sequence=1)
+    refuse_foreign_calls(guard)
+    room = guard.holder.room()
+    assert (room.standing, room.service, room.target) == ("ready", "visits", "t1")
+
+
+@pytest.mark.parametrize(("life", "changes"), FOREIGN)
+def test_target_of_another_writer_is_not_remembered(guard, life, changes):
+    queue = guard.memory.queue
+    seen = [queue.get_nowait().state.life for _ in range(queue.qsize())]
+    assert seen == [LIFE]
+    guard.announce(life, 7, **changes)
+    refuse_foreign_calls(guard)
+    assert queue.empty()
+
+
+def test_new_target_takes_the_place_of_the_old_one_once_it_answers(guard):
+    guard.announce(TargetLife("t2", 900), address="10.0.0.2:80")
+    assert guard.holder.room().target == "t1"
+    guard.answer_holds()
+    assert guard.holder.room().target == "t2"
+    assert guard.memory.queue.qsize() == 2
