Let only a target that has answered take another one's place

Change: among the targets that a guard knows of, one that has answered a list of runs goes before one that only a heartbeat has named; then the newest birth decides, as before. A heartbeat that gives a confirmed target another service, or another address in the same life, is passed over, counted and logged; where the target has not answered yet, the newer of two such heartbeats is tried. The store is told of a target once it has answered.

Ruled out: having guards follow the configuration to know the services. That is one more watch of the store for each guard, and does not tell a false address from a true one. Asking before each heartbeat is believed: a later life of the same target would take runs one heartbeat later than now.

Left: a heartbeat that agrees in service and address, but has a sequence number or a birth that is far too high, hides the target's own until its silence ends the session.

--- a/hawthorntrack/coordination/sessions.py
+++ b/hawthorntrack/coordination/sessions.py
@@ -123,6 +123,17 @@
         """Return whether an order's outcome proves that nothing of this life runs."""
         return outcome == "other_life" or (self.departed and outcome == "unreachable")
 
+    def contradicts(self, state: TargetState) -> bool:
+        """Return whether a heartbeat changes what stays the same.
+
+        Explanation
+        -----------
+        A target keeps its address for one life, and its service under its id.
+        """
+        same_life = state.life == self.state.life
+        moved = same_life and state.address != self.state.address
+        return moved or state.service != self.state.service
+
     def read_clock(self, clock_ms: int, now: float) -> None:
         """Take a reading of the target's clock."""
         if clock_ms:
--- a/hawthorntrack/coordination/target_lists.py
+++ b/hawthorntrack/coordination/target_lists.py
@@ -68,6 +68,10 @@
         """Send a stop."""
         raise NotImplementedError
 
+    def note_verified(self, session: TargetSession) -> None:
+        """Take in that a target has answered, and runs nothing of another guard."""
+        raise NotImplementedError
+
     def finish(self, session: TargetSession, ends: list[tuple[Run, str]]) -> None:
         """Report ends to the runs' owners."""
         raise NotImplementedError
@@ -251,6 +255,8 @@
         self.finish(session, finished)
         self.stop_foreign(session, listed)
         if recovered and not session.foreign:
+            if not session.verified:
+                self.note_verified(session)
             session.verified = True
             self.room_changed()
 
--- a/hawthorntrack/coordination/target_orders.py
+++ b/hawthorntrack/coordination/target_orders.py
@@ -27,7 +27,7 @@
 from hawthorntrack.state.clock import Clock
 from hawthorntrack.state.events import log_event
 from hawthorntrack.state.mailbox import Mailbox
-from hawthorntrack.state.metrics import RETRIES, STARTS, labelled
+from hawthorntrack.state.metrics import BAD_INPUT, RETRIES, STARTS, labelled
 from hawthorntrack.state.plans import RunName, TargetState, TaskName
 from hawthorntrack.state.registry import Registry
 from hawthorntrack.state.values import Incarnation
@@ -86,8 +86,20 @@
             return
         session = self.sessions.get(state.life.id)
         now = self.clock()
+        contradicts = session is not None and session.contradicts(state)
+        if contradicts and session.verified and session.announced:
+            labelled(BAD_INPUT, "heartbeat", "contradiction").inc()
+            log_event(
+                "target:contradicted",
+                target=state.life.id,
+                service=state.service,
+                address=state.address,
+            )
+            return
         if session is None or state.life.born_ms > session.state.life.born_ms:
-            self.memory.put(TargetSeen(state))
+            self.begin_life(state, now)
+            return
+        if contradicts and not session.verified and state.life == session.state.life:
             self.begin_life(state, now)
             return
         if state.life != session.state.life or state.sequence <= session.state.sequence:
@@ -97,7 +109,7 @@
         session.state, session.announced, session.departed = state, True, False
         session.heard_at = now
         session.read_clock(state.clock_ms, now)
-        if changed or news:
+        if session.verified and (changed or news):
             self.memory.put(TargetSeen(state))
         if changed:
             log_event("target:draining", target=state.life.id, runs=len(session.runs))
@@ -155,10 +167,20 @@
         self.look(session)
         self.room_changed()
 
+    def note_verified(self, session: TargetSession) -> None:
+        """Remember a target that has answered."""
+        if session.announced:
+            self.memory.put(TargetSeen(session.state))
+
     def current(self) -> TargetSession | None:
-        """Return the session that takes new runs."""
+        """Return the session that takes new runs.
+
+        Explanation
+        -----------
+        A heartbeat may be another writer's: whoever has answered goes first.
+        """
         live = [s for s in self.sessions.values() if not s.state.draining]
-        return max(live, key=lambda s: s.state.life.born_ms, default=None)
+        return max(live, key=lambda s: (s.verified, s.state.life.born_ms), default=None)
 
     def particulars(self, session: TargetSession, run: Run) -> dict[str, object]:
         """Return what tells a run, and the life of the target that it is at."""
