Show that one odd registration hides all others in the product's table

What callers saw: as on the platform; the product's own table is read in the same way. A registration that cannot be read has the whole answer refused, and again at each poll, so no guard is learned of any more; one that is nested deeply ends the process ("RecursionError: maximum recursion depth exceeded while deserializing an object").

--- a/hawthorntrack/conftest.py
+++ b/hawthorntrack/conftest.py
@@ -17,6 +17,18 @@
 SEED = 20_261_204
 FIRST_PORT = 18_000
 PORTS_PER_WORKER = 2_000  # test files that run side by side do not share any
+LEVELS = 100_000
+NESTED = b"[" * LEVELS + b"]" * LEVELS
+
+ODD_DOCUMENTS = {
+    "empty": b"",
+    "null": b"null",
+    "list": b"[]",
+    "cut": b'{"seq":',
+    "no_utf8": b"\xff\xfe",
+    "nested": NESTED,
+    "nested_in_a_skipped_field": b'{"more":' + NESTED + b"}",
+}
 ODD_ADDRESSES = {
     "port_0": "10.0.0.2:0",
     "port_65536": "10.0.0.2:65536",
@@ -129,6 +141,12 @@
     return TargetLoad("visits", ("confirm", "reroute", "check"), 8, 0, 0, 1.0)
 
 
+@pytest.fixture(params=ODD_DOCUMENTS.values(), ids=ODD_DOCUMENTS)
+def odd_document(request: pytest.FixtureRequest) -> bytes:
+    """Return bytes that are no document of this system."""
+    return request.param
+
+
 @pytest.fixture(params=ODD_ADDRESSES.values(), ids=ODD_ADDRESSES)
 def odd_address(request: pytest.FixtureRequest) -> str:
     """Return a text that is no address."""
--- a/hawthorntrack/coordination/tests/test_control.py
+++ b/hawthorntrack/coordination/tests/test_control.py
@@ -174,3 +174,32 @@
         assert control.view.stamp == control.polls["config"].mirror.version == 7
 
     run(scene())
+
+
+def check_others_hold(run, make_control, infos, odd):
+    """Have a guard read an odd row among registrations; the others hold."""
+
+    async def scene():
+        control = make_control(FaultyTable())
+        good = [registration(info, n + 2) for n, info in enumerate(infos[1:])]
+        tell(control, answer(control, control.now(), odd, *good))
+        assert control.view.guards.keys() == {
+            info.incarnation.address for info in infos[1:]
+        }
+        assert control.departed == {}
+
+    run(scene())
+
+
+def test_registration_that_is_no_document_hides_no_other(
+    run, make_control, infos, odd_document
+):
+    odd = Row(GUARDS + "10.0.0.2:80", 1, odd_document)
+    check_others_hold(run, make_control, infos, odd)
+
+
+def test_registration_at_an_address_that_is_none_hides_no_other(
+    run, make_control, infos, odd_address
+):
+    odd = registration(infos[0], 1)._replace(key=GUARDS + odd_address)
+    check_others_hold(run, make_control, infos, odd)
--- a/hawthorntrack/platform/tests/conftest.py
+++ b/hawthorntrack/platform/tests/conftest.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from hawthorntrack.conftest import NESTED
 from hawthorntrack.coordination.leaseholder import LeaseHolder
 from hawthorntrack.platform.formats import encode_json, target_state_of
 from hawthorntrack.protocol.codec import codecs
@@ -25,9 +26,6 @@
 from hawthorntrack.transport.serving import HttpServer
 
 ENTRY = Incarnation("10.0.0.1:7720", "e1")
-LEVELS = 100_000
-NESTED = b"[" * LEVELS + b"]" * LEVELS
-
 NO_JSON = {
     "nested": NESTED,
     "nan": b"NaN",
@@ -52,15 +50,6 @@
     "no_utf8": b'"\xff"',
     "line_break": b'"a\\r\\nb:80"',
 }
-ODD_DOCUMENTS = {
-    "empty": b"",
-    "null": b"null",
-    "list": b"[]",
-    "cut": b'{"seq":',
-    "no_utf8": b"\xff\xfe",
-    "nested": NESTED,
-    "nested_in_a_skipped_field": b'{"more":' + NESTED + b"}",
-}
 
 
 def with_field(body, path, value):
@@ -99,12 +88,6 @@
     return request.param
 
 
-@pytest.fixture(params=ODD_DOCUMENTS.values(), ids=ODD_DOCUMENTS)
-def odd_document(request):
-    """Return bytes that are no document of this system."""
-    return request.param
-
-
 @pytest.fixture
 def with_server():
     """Return a function that runs a test against an HTTP server on a free port."""
