Pass over one odd registration, and send nothing to what is no address

Change: rows of the product's table are decoded by one function that turns nesting without end into a ValueError, a registration that cannot be read is passed over, counted and logged with its key, and the table's client counts such an answer as none. What a registration that cannot be read says of the guard that was there stays in force; it is not taken for a farewell.

The test that a key without a usable address names no guard was wrong: for the coordination layer an address is a name, and its fakes use names without a port. What must hold is that nothing is sent there, and the bus raised ("zmq.error.ZMQError: Invalid argument (addr='tcp://10.0.0.2:-1')") or opened a socket for it.

Left: a document or a slot row that cannot be read still has that answer refused as a whole, as before, which leaves what is held in force.

--- a/hawthorntrack/coordination/control.py
+++ b/hawthorntrack/coordination/control.py
@@ -11,6 +11,7 @@
 from hawthorntrack.protocol import local, messages, rows
 from hawthorntrack.state.actor import Actor, handles
 from hawthorntrack.state.control import ControlView, apply_config
+from hawthorntrack.state.events import log_event
 from hawthorntrack.state.mailbox import Mailbox, Tick
 from hawthorntrack.state.metrics import BAD_INPUT, CONFIG_STAMP, RETRIES
 from hawthorntrack.state.mirror import Merged, Mirror, merge
@@ -243,6 +244,7 @@
         if whole:
             self.departed = {}
         known = {} if whole else self.view.guards
+        changed = tuple(row for row in changed if is_registration(row))
         if not changed:
             return known
         here = rows.read_guards(changed)
@@ -438,3 +440,14 @@
         }
         if not ask.reply.done():
             ask.reply.set_result(page)
+
+
+def is_registration(row: Row) -> bool:
+    """Return whether a row can be read; one that cannot hides no other."""
+    try:
+        rows.read_guard(row)
+    except ValueError as error:
+        BAD_INPUT.labels(edge="table", reason="guard").inc()
+        log_event("table:bad_row", key=row.key, error=str(error))
+        return False
+    return True
--- a/hawthorntrack/protocol/rows.py
+++ b/hawthorntrack/protocol/rows.py
@@ -1,7 +1,7 @@
 """Keys and values of the platform's table rows."""
 
 from collections.abc import Iterable
-from typing import NotRequired, TypedDict
+from typing import NotRequired, TypedDict, TypeVar
 
 import msgspec
 
@@ -12,6 +12,8 @@
 
 ZONES = "zones"
 
+T = TypeVar("T")
+
 
 class ZonesRow(TypedDict):
     """The zones out of service in one environment."""
@@ -93,9 +95,23 @@
     return f"{slots_prefix(environment)}{slot:07d}"
 
 
+def held(row: Row, kind: type[T]) -> T:
+    """Return what a row holds.
+
+    Raises
+    ------
+    ValueError
+        Whatever is wrong with it; nesting without end is a `RecursionError`.
+    """
+    try:
+        return msgspec.json.decode(row.value, type=kind)
+    except RecursionError as error:
+        raise ValueError(str(error)) from error
+
+
 def read_zones(row: Row) -> list[str]:
     """Return the zones out of service."""
-    return msgspec.json.decode(row.value, type=ZonesRow)["out"]
+    return held(row, ZonesRow)["out"]
 
 
 def write_zones(out: Iterable[str]) -> bytes:
@@ -105,7 +121,7 @@
 
 def read_document(row: Row) -> DocumentRow:
     """Return a document with its version's number."""
-    return msgspec.json.decode(row.value, type=DocumentRow)
+    return held(row, DocumentRow)
 
 
 def write_document(number: int, body: DocumentBody, mark: str = "") -> bytes:
@@ -120,7 +136,7 @@
     documents = (read_document(row) for row in rows if row not in zones)
     return Config(
         max((row.version for row in rows), default=0),
-        tuple(document_of(held["body"], held["number"]) for held in documents),
+        tuple(document_of(found["body"], found["number"]) for found in documents),
         frozenset(zone for row in zones for zone in read_zones(row)),
     )
 
@@ -138,7 +154,7 @@
 
 def read_guard(row: Row) -> GuardInfo | None:
     """Return one registration, or None where its process has departed."""
-    body = msgspec.json.decode(row.value, type=GuardRow)
+    body = held(row, GuardRow)
     if body.get("departed"):
         return None
     return GuardInfo(
@@ -173,7 +189,7 @@
 
 def read_slot(row: Row) -> SlotRow:
     """Return a slot's row with the version it stands at."""
-    return msgspec.json.decode(row.value, type=SlotRow)._replace(version=row.version)
+    return held(row, SlotRow)._replace(version=row.version)
 
 
 def write_slot(row: SlotRow) -> bytes:
--- a/hawthorntrack/transport/bus.py
+++ b/hawthorntrack/transport/bus.py
@@ -12,6 +12,7 @@
 from hawthorntrack.protocol.codec import BadMessage, Codec
 from hawthorntrack.protocol.messages import Envelope
 from hawthorntrack.state.actor import Actor, handles
+from hawthorntrack.state.addresses import split_address
 from hawthorntrack.state.mailbox import Tick
 from hawthorntrack.state.metrics import (
     BAD_INPUT,
@@ -107,6 +108,11 @@
         peer = self.peers.get(address)
         if peer is None:
             route = self.routes.get(address, address)
+            try:
+                split_address(route)
+            except ValueError:
+                labelled(BUS_DROPS, "no_address").inc()
+                return
             peer = self.peers[address] = Peer(self.context, route, self.now())
         peer.used_at = self.now()
         data = self.codec.encode(Envelope(self.me, self.stamp, message.body))
--- a/hawthorntrack/transport/table_client.py
+++ b/hawthorntrack/transport/table_client.py
@@ -27,7 +27,13 @@
     tables,
 )
 
-ERRORS = (aiohttp.ClientError, TimeoutError, msgspec.DecodeError, OSError)
+ERRORS = (
+    aiohttp.ClientError,
+    TimeoutError,
+    msgspec.DecodeError,
+    RecursionError,
+    OSError,
+)
 
 
 def row_of(body: RowBody) -> Row:
--- a/hawthorntrack/transport/tests/test_edges.py
+++ b/hawthorntrack/transport/tests/test_edges.py
@@ -141,6 +141,22 @@
     return counter.labels(**labels)._value.get()
 
 
+def test_message_to_an_address_that_is_none_ends_no_process(odd_address):
+    async def scene():
+        context = zmq.asyncio.Context()
+        me = Incarnation("127.0.0.1:1", "a")
+        sender = BusSender(context, codecs["msgpack"], me, None, {})
+        try:
+            sender.handle(
+                Outgoing(Incarnation(odd_address, "n"), messages.Pending("r1"))
+            )
+            assert sender.peers == {}
+        finally:
+            context.destroy(linger=0)
+
+    asyncio.run(scene())
+
+
 def test_bus_drops_bad_messages_and_goes_on():
     async def scene():
         context = zmq.asyncio.Context()
