Show that a false clock in a heartbeat goes into leases

A start carries the end of the lease on the target's clock, and one that is carried out late is turned away by it. A heartbeat that a cut held up tells a clock that is too low, and has starts turned away as late.

--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -1120,3 +1120,32 @@
     guard.answer_holds()
     assert guard.holder.room().target == "t2"
     assert guard.memory.queue.qsize() == 2
+
+
+FALSE_CLOCK_MS = 2**53 - 1
+
+
+def test_leases_go_by_the_clock_of_answers_alone(guard):
+    """A heartbeat may be late, or another writer's."""
+    guard.announce(sequence=2, clock_ms=FALSE_CLOCK_MS)
+    guard.order_runs()
+    (start,) = guard.orders(StartOrder)
+    assert start.lease_ms <= 5_000 + 1_000 * LEASE_S
+
+
+def test_no_lease_is_renewed_by_the_clock_of_a_first_heartbeat(running):
+    guard, _ = running
+    guard.announce(TargetLife("t1", 900), clock_ms=FALSE_CLOCK_MS)
+    holds = [order for order in guard.orders(HoldOrder) if order.target.life != LIFE]
+    assert [order.lease_ms for order in holds] == [None]
+
+
+def test_clock_that_begins_at_nothing_is_a_clock(run):
+    guard = Guard()
+    guard.announce(clock_ms=0)
+    (order,) = guard.orders(HoldOrder)
+    guard.tell(HoldReply(order, "held", 0, 100))
+    guard.tell(Hello("entry", "recife", "entry-1"), ENTRY)
+    guard.order_runs()
+    (start,) = guard.orders(StartOrder)
+    assert start.lease_ms == 1_000 * LEASE_S
