Take the target's clock from its answers alone

Change: a session has no clock until the target answers a list of runs, which it must do anyway before it takes runs; until then a hold looks and renews nothing. The clocks of heartbeats are still decoded, since the remembered row has them, but no lease goes by them. A clock of 0 in a list counts as one.

Ruled out: bounding how far a heartbeat may move the clock. A target that starts anew begins its clock anew, so no bound tells the two apart.

--- a/hawthorntrack/coordination/sessions.py
+++ b/hawthorntrack/coordination/sessions.py
@@ -73,6 +73,8 @@
 
     Attributes
     ----------
+    clock : TargetClock or None
+        As an answer told it last: a heartbeat may be late, or another writer's.
     token : int
         Fencing token of the next order.
     ends_seen : int
@@ -89,7 +91,7 @@
 
     def __init__(self, state: TargetState, token: int, now: float) -> None:
         self.state = state
-        self.clock = TargetClock(state.clock_ms, now)
+        self.clock: TargetClock | None = None
         self.token = token
         self.fenced = 0
         self.runs: dict[TaskName, Run] = {}
--- a/hawthorntrack/coordination/target_lists.py
+++ b/hawthorntrack/coordination/target_lists.py
@@ -158,7 +158,8 @@
     def renewal(self, session: TargetSession, now: float) -> int | None:
         """Return the lease of a hold; None if the target's lease is to stay."""
         wanted = any(run.phase != STOPPING for run in session.runs.values())
-        if not wanted or session.failures or self.doubtful(session, now):
+        steady = session.clock is not None and not session.failures
+        if not wanted or not steady or self.doubtful(session, now):
             return None
         return self.lease(session, now)
 
@@ -200,8 +201,7 @@
             session.holding = None
         if reply.outcome == "held" and self.is_other_life(session, reply):
             life = session.state.life._replace(born_ms=reply.born_ms)
-            unheard = session.state._replace(life=life, sequence=-1)
-            self.begin_life(unheard._replace(clock_ms=reply.clock_ms), now)
+            self.begin_life(session.state._replace(life=life, sequence=-1), now)
             self.sessions[life.id].announced = False
             return
         if reply.outcome == "held":
@@ -237,7 +237,7 @@
         """Compare the target's lists with what should run there."""
         recovered = session.failures or not session.verified
         session.failures, session.heard_at = 0, now
-        session.read_clock(reply.clock_ms, now)
+        session.clock = leases.TargetClock(reply.clock_ms, now)
         session.ends_acknowledged = max(
             session.ends_acknowledged, reply.order.ends_seen
         )
--- a/hawthorntrack/coordination/target_orders.py
+++ b/hawthorntrack/coordination/target_orders.py
@@ -108,7 +108,6 @@
         news = not session.announced
         session.state, session.announced, session.departed = state, True, False
         session.heard_at = now
-        session.read_clock(state.clock_ms, now)
         if session.verified and (changed or news):
             self.memory.put(TargetSeen(state))
         if changed:
