Expect the lease of a clock at 0 by the rule for slow clocks

test_clock_that_begins_at_nothing_is_a_clock was written on the rule before leases allow for a slow target clock, and expected 900 ms where both together give 873. It holds the start against leases.lease_until on a clock that shows 0 now: as strict, and one rule.

--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -3,7 +3,14 @@
 import pytest
 
 from hawthorntrack.coordination.leaseholder import LeaseHolder, RoomNews
-from hawthorntrack.coordination.leases import LEASE_S, STOP_S, TRUST_S, gone_by
+from hawthorntrack.coordination.leases import (
+    LEASE_S,
+    STOP_S,
+    TRUST_S,
+    TargetClock,
+    gone_by,
+    lease_until,
+)
 from hawthorntrack.coordination.target_orders import NO_ROOM_PAUSE_S, START_REPEATS
 from hawthorntrack.protocol.dispatch import (
     CheckRuns,
@@ -1148,4 +1155,5 @@
     guard.tell(Hello("entry", "recife", "entry-1"), ENTRY)
     guard.order_runs()
     (start,) = guard.orders(StartOrder)
-    assert start.lease_ms == 1_000 * LEASE_S
+    clock = TargetClock(0, guard.time)
+    assert start.lease_ms == lease_until(clock, guard.time + LEASE_S)
