Show that two guesses about doubtful starts give runs back at work

A run whose start got no answer is found in a list; a list that was asked for earlier and arrives later does not show it, and it is reported lost though it works on:

9.3051 run:over run=2 how=lost, 9.3056 run:stop run=1 why=unknown_here percent=81, 9.3086 run:taken 0.9:3 at the same target

A lease of a start that a new life carried out: its end lies far ahead on the new clock, so the target grants its longest lease, and the guard waits for the end of the old one only.

Both tests fail: messages(RunsEnded) == [] does not hold.

--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -1157,3 +1157,39 @@
     (start,) = guard.orders(StartOrder)
     clock = TargetClock(0, guard.time)
     assert start.lease_ms == lease_until(clock, guard.time + LEASE_S)
+
+
+def test_list_older_than_the_one_that_showed_a_doubtful_run_does_not_end_it(guard):
+    """Answers on different connections overtake each other."""
+    (name,) = guard.order_runs()
+    for _ in range(1 + START_REPEATS):
+        guard.time += 0.05
+        guard.answer_starts("unanswered")
+    older = guard.orders(HoldOrder)
+    guard.time += 0.01
+    guard.holder.look(guard.holder.current())
+    (newer,) = guard.orders(HoldOrder)
+    guard.tell(HoldReply(newer, "held", guard.clock_ms(), 100, (RunStatus(name, 5),)))
+    guard.orders(HoldOrder)
+    for order in older:
+        guard.tell(HoldReply(order, "held", guard.clock_ms(), 100))
+    assert guard.messages(RunsEnded) == []
+    assert guard.orders(StopOrder) == []
+
+
+def test_lease_of_a_start_that_a_new_life_carried_out_is_waited_for(running):
+    """Its lease lies far ahead on the new clock, so the target grants the longest."""
+    guard, _ = running
+    guard.orders(HoldOrder)
+    guard.time += LEASE_S - 0.05
+    guard.announce(TargetLife("t1", 200))
+    guard.answer_holds(outcome="unanswered")
+    for _ in range(2):
+        guard.time += 0.4
+        guard.answer_holds(outcome="unanswered")
+        guard.tell(Tick())
+        assert guard.messages(RunsEnded) == []
+    guard.time += 0.5
+    guard.answer_holds(outcome="unanswered")
+    guard.tell(Tick())
+    assert [e.how for m in guard.messages(RunsEnded) for e in m.endings] == ["lapsed"]
