Let no list end a run that was asked for before the run was known to work

Cause: Run.began_at told when a run is known to work, and a list that was asked for later and does not show it ends it. For a run that a list found after a start without an answer it was left at the time of the order, so lists asked for in between counted as well. Answers on different connections overtake each other.

Ruled out: runs whose start was answered (their began_at is the time of the answer).

Change: follow sets began_at with the phase. The measured run time of such a run is too short by as much; ends within a second of a lost answer are not measured anyway.

test_list_older_than_the_one_that_showed_a_doubtful_run_does_not_end_it failed before and passes, with the other tests of the lease holder.

--- a/hawthorntrack/coordination/target_lists.py
+++ b/hawthorntrack/coordination/target_lists.py
@@ -287,7 +287,8 @@
         """Take in how far a run has come; stop one that stands still."""
         if run.phase == UNSURE:
             STARTS.inc()
-            run.phase, run.moved_at = RUNNING, now
+            # Only lists that are asked for from now on tell of its end.
+            run.phase, run.began_at, run.moved_at = RUNNING, now, now
         if run.phase != RUNNING:
             return
         if percent != run.percent:
