Wait out the longest lease where a new life may have carried a start out

Cause: a start that was sent to a target's earlier life, and carried out by the next one under the same id, carries the end of a lease on the earlier life's clock. The new clock begins anew, so that end lies far ahead and the target grants its longest lease, 1 s from then. The guard went on with the end of the leases of the earlier life, and reported the runs lapsed too early where the new life did not answer.

Change: from the moment the new life shows, the longest lease is waited for.

Open: a start carried out by a new life after its run had been given back, before the guard's first order reaches that life. Nothing the guard can do fences it; it is stopped as unknown once a list shows it.

test_lease_of_a_start_that_a_new_life_carried_out_is_waited_for failed before and passes, with the tests of lease holder and decisions.

--- a/hawthorntrack/coordination/leases.py
+++ b/hawthorntrack/coordination/leases.py
@@ -8,7 +8,8 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-LEASE_S = 0.9  # under the longest lease that targets grant, 1 s
+LONGEST_LEASE_S = 1.0  # what targets grant at most, on their clocks
+LEASE_S = 0.9  # under the longest lease
 CLOCK_SLACK = 1.03  # targets' clocks are up to 2% slow
 TRUST_S = 0.6  # three pulses; a caller sends again 1.3 s after a broken connection
 OUTLASTS_S = 0.4  # of a lease beyond trust; both and a stop end within a caller's 1.3 s
@@ -54,6 +55,11 @@
     return min([now + LEASE_S, *(until + OUTLASTS_S for until in trusted_until)])
 
 
+def lapse_of_longest(now: float) -> float:
+    """Return when a lease is over that a target granted by now, whatever was asked."""
+    return now + LONGEST_LEASE_S * CLOCK_SLACK
+
+
 def lapsed_by(lease_ends: float) -> float:
     """Return when all runs under a lease have lapsed."""
     return lease_ends + STOP_S
--- a/hawthorntrack/coordination/target_orders.py
+++ b/hawthorntrack/coordination/target_orders.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from hawthorntrack.coordination import health as health_rules
+from hawthorntrack.coordination import leases
 from hawthorntrack.coordination.sessions import (
     RUNNING,
     STARTING,
@@ -143,7 +144,8 @@
         A crash shows some time after it. A start that was sent meanwhile has been
         carried out by the new life, which goes by the same id.
         """
-        session.lease_ends, session.runs = older.lease_ends, older.runs
+        longest = leases.lapse_of_longest(self.clock())
+        session.lease_ends, session.runs = max(older.lease_ends, longest), older.runs
         for run in session.runs.values():
             why, run.phase = run.why or "lost", UNSURE
             self.stop(session, run, why)
