Take an unknown status of a target for no answer, not for a refusal

An order that a target answered with a status of no known meaning (a 500, say) counted as turned away by an unwell target, and its run was given back though it may have begun.

--- a/hawthorntrack/platform/targets.py
+++ b/hawthorntrack/platform/targets.py
@@ -44,6 +44,7 @@
     "ticket": "invalid",
 }
 REFUSALS_BY_STATUS = {400: "invalid", 421: "other_life", 429: "unwell", 503: "unwell"}
+UNKNOWN_STATUS = "unanswered"  # the order may have been carried out
 ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
 
 
@@ -151,7 +152,7 @@
         if status == 409:
             outcome = REFUSALS_BY_REASON.get(answer.reason, "invalid")
             return outcome, answer.clock_ms
-        return REFUSALS_BY_STATUS.get(status, "unwell"), answer.clock_ms
+        return REFUSALS_BY_STATUS.get(status, UNKNOWN_STATUS), answer.clock_ms
 
     async def order_hold(self, order: HoldOrder) -> None:
         """Renew the lease and report the lists."""
@@ -174,7 +175,8 @@
                 reason = answer_of(data).reason
                 reply = HoldReply(order, REFUSALS_BY_REASON.get(reason, "unwell"))
             else:
-                reply = HoldReply(order, REFUSALS_BY_STATUS.get(status, "unwell"))
+                outcome = REFUSALS_BY_STATUS.get(status, UNKNOWN_STATUS)
+                reply = HoldReply(order, outcome)
         except aiohttp.ClientConnectorError as error:
             reply = HoldReply(order, not_connected(error))
         except ERRORS:
--- a/hawthorntrack/platform/tests/test_calls.py
+++ b/hawthorntrack/platform/tests/test_calls.py
@@ -69,6 +69,8 @@
         ((421, {}), "other_life"),
         ((429, {}), "unwell"),
         ((503, []), "unwell"),
+        ((404, {}), "unanswered"),
+        ((500, {}), "unanswered"),
         ((None, None), "unanswered"),
     ],
 )
