Begin no run under a lease that outlasts the trust in its owner

Cause: one lease covers all runs on a target and is never shortened, but a start carried the longest granted so far, whoever it was for. With a stamp 0.45 s old and another owner's run just renewed, the lease ended 1.32 s after the stamp, where its owner counts on 1.1 s. In a target's next life the bound on what an earlier order may have brought about was sent as a grant, too.

Change: order_start gives a run back whose owner's trust, with OUTLASTS_S, ends before the leases on the target. LEASE_S is 0.75 s, so that a stamp one pulse old passes. What an earlier life may have left is kept apart from what was granted (inherited_until), and only waited for.

Before: test_owner_last_heard_long_ago_gets_no_start_under_anothers_longer_lease (two cases) and test_lease_that_an_earlier_life_may_have_left_is_granted_to_no_start failed; after: they pass, with the tests of lease holder and decisions. A test that began a run at the moment a new life showed, beside a stop without an answer, passed by that grant only: it answers the stop and waits 0.1 s now, and checks what it did.

--- a/hawthorntrack/coordination/leases.py
+++ b/hawthorntrack/coordination/leases.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 LONGEST_LEASE_S = 1.0  # what targets grant at most, on their clocks
-LEASE_S = 0.9  # under the longest lease
+LEASE_S = 0.75  # with a pulse 0.2 s old, no longer than trust and OUTLASTS_S
 CLOCK_SLACK = 1.03  # targets' clocks are up to 2% slow
 TRUST_S = 0.6  # three pulses; a caller sends again 1.3 s after a broken connection
 OUTLASTS_S = 0.4  # of a lease beyond trust; both and a stop end within a caller's 1.3 s
@@ -50,11 +50,16 @@
     Examples
     --------
     >>> lease_end(10.0, [10.6]), lease_end(10.0, [10.6, 10.25])
-    (10.9, 10.65)
+    (10.75, 10.65)
     """
     return min([now + LEASE_S, *(until + OUTLASTS_S for until in trusted_until)])
 
 
+def outlasts(lease_ends: float, trusted_until: float) -> bool:
+    """Return whether a lease goes on for too long after the trust in an owner."""
+    return lease_ends > trusted_until + OUTLASTS_S
+
+
 def lapse_of_longest(now: float) -> float:
     """Return when a lease is over that a target granted by now, whatever was asked."""
     return now + LONGEST_LEASE_S * CLOCK_SLACK
--- a/hawthorntrack/coordination/sessions.py
+++ b/hawthorntrack/coordination/sessions.py
@@ -81,6 +81,8 @@
         Number of the last end that was taken in.
     lease_ends : float
         When all leases that were ordered are over; 0.0 before the first.
+    inherited_until : float
+        When leases are over that orders to an earlier life may have brought about.
     announced : bool
         Whether the target has told what this life can take.
     departed : bool
@@ -99,6 +101,7 @@
         self.ends_acknowledged = 0
         self.holding: HoldOrder | None = None
         self.lease_ends = 0.0
+        self.inherited_until = 0.0
         self.heard_at = now
         self.failures = 0
         self.lost_answer_at = -math.inf
@@ -121,6 +124,11 @@
             taken = taken.plus(run.order.need)
         return self.state.capacity.minus(taken)
 
+    @property
+    def lapses_at(self) -> float:
+        """Return when everything on the target has lapsed if nothing is renewed."""
+        return max(self.lease_ends, self.inherited_until)
+
     def is_over(self, outcome: str) -> bool:
         """Return whether an order's outcome proves that nothing of this life runs."""
         return outcome == "other_life" or (self.departed and outcome == "unreachable")
--- a/hawthorntrack/coordination/target_lists.py
+++ b/hawthorntrack/coordination/target_lists.py
@@ -346,7 +346,7 @@
     def give_up_on_silent(self, session: TargetSession, now: float) -> None:
         """Report runs as lapsed once no lease can be left."""
         if session.failures and session.runs:
-            if now > leases.lapsed_by(session.lease_ends):
+            if now > leases.lapsed_by(session.lapses_at):
                 self.finish(session, [(run, "lapsed") for run in session.runs.values()])
         if not session.runs and now - session.heard_at > 3 * SILENT_S:
             log_event("target:silent", target=session.state.life.id)
--- a/hawthorntrack/coordination/target_orders.py
+++ b/hawthorntrack/coordination/target_orders.py
@@ -145,7 +145,8 @@
         carried out by the new life, which goes by the same id.
         """
         longest = leases.lapse_of_longest(self.clock())
-        session.lease_ends, session.runs = max(older.lease_ends, longest), older.runs
+        session.inherited_until = max(older.lapses_at, longest)
+        session.runs = older.runs
         for run in session.runs.values():
             why, run.phase = run.why or "lost", UNSURE
             self.stop(session, run, why)
@@ -195,9 +196,16 @@
         }
 
     def order_start(self, session: TargetSession, run: Run) -> None:
-        """Send a start, with the number that the run has now, if its owner is there."""
+        """Send a start, with the number that the run has now, if its owner is there.
+
+        Explanation
+        -----------
+        Leases cover all runs on a target and are never shortened, so a run for an
+        owner that is trusted for less long than others may not join theirs.
+        """
         now = self.clock()
-        if self.trusted_until.get(run.owner, 0.0) <= now:
+        trusted = self.trusted_until.get(run.owner, 0.0)
+        if trusted <= now or leases.outlasts(session.lapses_at, trusted):
             self.abandon_start(session, run, "owner_silent")
             return
         if len(self.numbers) > NUMBERS_KEPT:
--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -296,6 +296,8 @@
     guard.order_runs(job="b" * 16)
     assert [r.reason for r in guard.messages(RunsRefused)] == ["unwell"]
     guard.announce(TargetLife("t1", 200))
+    finish_stop(guard, stop)
+    guard.time += 0.1  # what is left of a lease is over with the owner's trust then
     guard.order_runs(job="c" * 16)
     assert guard.messages(RunsRefused) == []
 
@@ -1193,3 +1195,30 @@
     guard.answer_holds(outcome="unanswered")
     guard.tell(Tick())
     assert [e.how for m in guard.messages(RunsEnded) for e in m.endings] == ["lapsed"]
+
+
+@pytest.mark.parametrize("age_s", [0.45, 0.3])
+def test_owner_last_heard_long_ago_gets_no_start_under_anothers_longer_lease(
+    guard, age_s
+):
+    """One lease covers all runs on a target, and cannot be shortened."""
+    guard.tell(Hello("entry", "olinda", "entry-2"), OTHER)
+    order = RunOrder(RunName(TaskName("b" * 16, 0, 0, 0), 1), NEED, 400)
+    guard.time += 1.0
+    heard_at = guard.time - age_s
+    stamp_ms = round(guard.time * 1000)
+    guard.tell(StartRuns(stamp_ms, "spec", 9_000, (order,)), OTHER)
+    guard.answer_starts()
+    guard.order_runs(age_s=age_s)
+    begun = guard.orders(StartOrder)
+    assert not begun or guard.lease_over() + STOP_S <= gone_by(heard_at)
+
+
+def test_lease_that_an_earlier_life_may_have_left_is_granted_to_no_start(crashed):
+    guard, _ = crashed
+    (stop,) = guard.orders(StopOrder)
+    guard.time += 0.01
+    guard.answer_holds()
+    guard.tell(StopReply(stop, "unanswered"))
+    guard.order_runs(job="b" * 16)
+    assert guard.orders(StartOrder) == []
