Answer the orders that wait for a start which is turned away

Callers might wait for a task until their deadline: an order that waits at a guard for an earlier run of its task to be over (a stale one, which stops nothing) was not answered when that run's start was turned away, since a run that is given back does not pass finish.

Change: abandon_start answers them, as finish does.

test_order_that_waits_for_a_start_which_is_turned_away_is_answered failed before and passes, with all tests of the lease holder. Found by review.

--- a/hawthorntrack/coordination/leaseholder.py
+++ b/hawthorntrack/coordination/leaseholder.py
@@ -426,6 +426,11 @@
             self.room_changed()
             self.report_drained()
 
+    def answer_successors(self, task: TaskName) -> None:
+        """Refuse the orders that waited for a run of a task, which is over now."""
+        for name, owner in self.successors.pop(task, ()):
+            self.refuse(owner, [name], "still_running")
+
     @handles(Tick)
     def keep_time(self, tick: Tick, sender: Incarnation) -> None:
         """Stop what nobody waits for, give up on silent targets, send pulses."""
--- a/hawthorntrack/coordination/target_orders.py
+++ b/hawthorntrack/coordination/target_orders.py
@@ -74,6 +74,10 @@
         """Tell an entry instance that runs did not start and never will."""
         raise NotImplementedError
 
+    def answer_successors(self, task: TaskName) -> None:
+        """Answer the orders that waited for a run of a task to be over."""
+        raise NotImplementedError
+
     def report_drained(self) -> None:
         """Say when nothing runs any more."""
         raise NotImplementedError
@@ -318,6 +322,7 @@
             return
         del session.runs[run.name.task]
         self.refuse(run.owner, [run.order.name], reason)
+        self.answer_successors(run.name.task)
         self.room_changed()
         self.report_drained()
 
--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -1222,3 +1222,14 @@
     guard.tell(StopReply(stop, "unanswered"))
     guard.order_runs(job="b" * 16)
     assert guard.orders(StartOrder) == []
+
+
+def test_order_that_waits_for_a_start_which_is_turned_away_is_answered(guard):
+    (name,) = guard.order_runs()
+    order = RunOrder(name._replace(run=4), NEED, 400)
+    stamp_ms = round((guard.time - TRUST_S - 0.1) * 1000)
+    guard.tell(StartRuns(stamp_ms, "spec", 9_000, (order,)), OTHER)
+    guard.messages(RunsRefused)
+    guard.answer_starts("no_room")
+    refused = {name for told in guard.messages(RunsRefused) for name in told.runs}
+    assert refused == {name, order.name}
