Ask a restarted guard for the earlier runs whatever its standing

Callers waited for their deadline: a guard that restarts beside a target that drains, or is unwell, never reports ready, so its owners never asked after the runs of its earlier life (the guard is linked, so they were not given up as a silent one's either).

Change: after the longest lease any answer is proof, so the runs are asked for then.

Found by review.

--- a/hawthorntrack/coordination/run_placing.py
+++ b/hawthorntrack/coordination/run_placing.py
@@ -260,8 +260,7 @@
         told_all = peer.vouched_as_of == self.directives.stamp
         if not told_all or peer.heard_at - peer.vouched_at >= VOUCH_S:
             self.vouch(peer)
-        if peer.room.standing == "ready":
-            self.check_earlier_life(peer)
+        self.check_earlier_life(peer)
         self.report_ready()
         self.placing_due = True
 
@@ -297,15 +296,15 @@
         Explanation
         -----------
         An order that was on its way may have reached this life; what did not is
-        reported lost. Another target may have drained beside the one that the guard
-        reports now. Its runs are over with their lease.
+        reported lost. A target that the guard does not report as ready may run on
+        what it had; that is over with the lease.
         """
         lapsed = peer.lapsed(self.clock())
+        ready = peer.room.target if peer.room.standing == "ready" else None
         asked = [
             task
             for task in self.tasks_at(peer)
-            if task.guard_life != peer.nonce
-            and (lapsed or task.target == peer.room.target)
+            if task.guard_life != peer.nonce and (lapsed or task.target == ready)
         ]
         if not asked:
             return
--- a/hawthorntrack/coordination/tests/test_dispatcher.py
+++ b/hawthorntrack/coordination/tests/test_dispatcher.py
@@ -705,3 +705,17 @@
     entry.pulse(reborn, target="t-new")
     ((_, check),) = entry.messages(CheckRuns)
     assert set(check.runs) == set(runs)
+
+
+def test_restarted_guard_whose_target_drains_is_asked_for_the_earlier_runs(placed):
+    """It never reports ready again; after the longest lease any answer is proof."""
+    entry, _, runs = placed
+    entry.tell(LinkDown(ONE.address))
+    reborn = ONE._replace(nonce="g9")
+    entry.link(reborn, standing="draining")
+    entry.messages(CheckRuns)
+    for _ in range(round(LONGEST_LEASE_S / 0.1) + 2):
+        entry.wait(0.1)
+        entry.pulse(reborn, standing="draining")
+    asked = {run for _, check in entry.messages(CheckRuns) for run in check.runs}
+    assert asked == set(runs)
