Go on after an unknown run until its stop was answered

A run that a list shows and the guard does not know is stopped, and nothing is renewed meanwhile. An answer that never came counted as one, so that the next start renewed the lease for that run too; and where nothing else ran, nobody asked for the lists again.

Change: only the answer 'stopped' takes a run off the unknown ones, and a hold is sent while there are any.

Two tests (test_unknown_run_whose_stop_got_no_answer_...) failed before and pass, with the other tests of the lease holder.

--- a/hawthorntrack/coordination/target_lists.py
+++ b/hawthorntrack/coordination/target_lists.py
@@ -128,7 +128,8 @@
         now = self.clock()
         pending = session.ends_seen > session.ends_acknowledged
         doubted = session.failures or not session.verified
-        if session.holding is not None or not (session.runs or pending or doubted):
+        wanted = session.runs or session.foreign or pending or doubted
+        if session.holding is not None or not wanted:
             return
         lease_ms = self.renewal(session, now)
         waits = session.foreign or (session.runs and session.verified)
--- a/hawthorntrack/coordination/target_orders.py
+++ b/hawthorntrack/coordination/target_orders.py
@@ -392,7 +392,8 @@
         if session is None:
             return
         session.read_clock(reply.clock_ms, self.clock())
-        session.foreign.discard(reply.order.name)
+        if reply.outcome == "stopped":
+            session.foreign.discard(reply.order.name)
         run = session.runs.get(reply.order.name.task)
         if run is None or run.name != reply.order.name or run.phase != STOPPING:
             return
--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -1233,3 +1233,36 @@
     guard.answer_starts("no_room")
     refused = {name for told in guard.messages(RunsRefused) for name in told.runs}
     assert refused == {name, order.name}
+
+
+STRANGER = RunName(TaskName("c" * 16, 0, 0, 0), 1)
+
+
+def leave_stops_unanswered(guard):
+    """Leave the stops that were sent without an answer."""
+    for stop in guard.orders(StopOrder):
+        guard.tell(StopReply(stop, "unanswered"))
+
+
+def test_unknown_run_whose_stop_got_no_answer_is_asked_after_again(running):
+    guard, name = running
+    guard.time += 0.01
+    guard.answer_holds([RunStatus(STRANGER, 5)], ended=[RunEnd(1, name, "done")])
+    leave_stops_unanswered(guard)
+    guard.time += 0.2
+    guard.answer_holds([RunStatus(STRANGER, 6)])
+    leave_stops_unanswered(guard)
+    guard.wait(0.05)
+    assert guard.orders(HoldOrder) != []
+
+
+def test_unknown_run_whose_stop_got_no_answer_has_no_lease_renewed(running):
+    guard, name = running
+    guard.time += 0.1
+    guard.tell(Vouch(round(guard.time * 1000), 1, ()), ENTRY)
+    granted = guard.holder.current().lease_ends
+    guard.answer_holds([RunStatus(STRANGER, 5), RunStatus(name, 2)])
+    leave_stops_unanswered(guard)
+    guard.time += 0.01
+    guard.order_runs(job="d" * 16)
+    assert guard.holder.current().lease_ends == granted
