Confirm a target's address by an answer from that address only

Change: replies are matched by the whole address of the order, not by the life alone.

test_answer_from_another_address_confirms_no_target failed before and passes, with the tests of the lease holder. Found by review.

--- a/hawthorntrack/coordination/target_lists.py
+++ b/hawthorntrack/coordination/target_lists.py
@@ -87,7 +87,7 @@
     def session_of(self, reply: StartReply | StopReply | HoldReply) -> Any:
         """Return the session that an order was meant for, if it goes on."""
         session = self.sessions.get(reply.order.target.life.id)
-        if session is None or session.target.life != reply.order.target.life:
+        if session is None or session.target != reply.order.target:
             return None
         return session
 
--- a/hawthorntrack/coordination/target_orders.py
+++ b/hawthorntrack/coordination/target_orders.py
@@ -417,7 +417,7 @@
     def stop_again(self, news: StopAgain, sender: Incarnation) -> None:
         """Repeat a stop, unless it was taken or the run is over."""
         session = self.sessions.get(news.target.life.id)
-        if session is None or session.target.life != news.target.life:
+        if session is None or session.target != news.target:
             return
         run = session.runs.get(news.name.task)
         if run is None or run.name != news.name:
--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -1266,3 +1266,19 @@
     guard.time += 0.01
     guard.order_runs(job="d" * 16)
     assert guard.holder.current().lease_ends == granted
+
+
+def test_answer_from_another_address_confirms_no_target(run):
+    """A heartbeat of another writer came between the call and its answer."""
+    guard = Guard()
+    guard.announce()
+    held = guard.orders(HoldOrder)
+    guard.announce(sequence=2, address="10.9.9.9:80")
+    for order in held:
+        guard.tell(HoldReply(order, "held", guard.clock_ms(), 100))
+    guard.announce(sequence=3)
+    for order in guard.orders(HoldOrder):
+        ours = order.target.address == "10.0.0.1:80"
+        outcome, born_ms = ("held", 100) if ours else ("unsent", 0)
+        guard.tell(HoldReply(order, outcome, guard.clock_ms(), born_ms))
+    assert guard.holder.current().state.address == "10.0.0.1:80"
