--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -1282,3 +1282,41 @@
         outcome, born_ms = ("held", 100) if ours else ("unsent", 0)
         guard.tell(HoldReply(order, outcome, guard.clock_ms(), born_ms))
     assert guard.holder.current().state.address == "10.0.0.1:80"
+
+
+def test_first_order_to_a_next_life_has_a_token_above_all_before(running):
+    guard, _ = running
+    token = guard.holder.current().token
+    guard.orders(HoldOrder)
+    guard.announce(TargetLife("t1", 200))
+    (hold,) = guard.orders(HoldOrder)
+    assert hold.target.life == TargetLife("t1", 200)
+    assert hold.token > token
+
+
+def test_list_asked_for_before_a_stop_was_answered_does_not_end_its_run(running):
+    guard, name = running
+    older = guard.orders(HoldOrder)
+    guard.time += 0.01
+    guard.tell(StopRuns((name,)), ENTRY)
+    (stop,) = guard.orders(StopOrder)
+    guard.time += 0.01
+    guard.tell(StopReply(stop, "stopped", guard.clock_ms()))
+    for order in older:
+        guard.tell(HoldReply(order, "held", guard.clock_ms(), 100))
+    assert older != []
+    assert guard.messages(RunsEnded) == []
+
+
+def test_list_asked_for_before_a_start_went_unanswered_does_not_stop_its_run(running):
+    guard, _ = running
+    older = guard.orders(HoldOrder)
+    guard.order_runs(job="b" * 16)
+    for _ in range(1 + START_REPEATS):
+        guard.time += 0.05
+        guard.answer_starts("unanswered")
+    for order in older:
+        guard.tell(HoldReply(order, "held", guard.clock_ms(), 100))
+    assert older != []
+    stopped = {stop.name.task.job for stop in guard.orders(StopOrder)}
+    assert "b" * 16 not in stopped
