Name what a first heartbeat is told by, not by its message's parameter

take_heartbeat used its parameter for a message as the name of a boolean further down. Behaviour as before: tests of the lease holder pass. Found by review.

--- a/hawthorntrack/coordination/target_orders.py
+++ b/hawthorntrack/coordination/target_orders.py
@@ -110,14 +110,14 @@
         if state.life != session.state.life or state.sequence <= session.state.sequence:
             return
         changed = state.draining != session.state.draining
-        news = not session.announced
+        first = not session.announced
         session.state, session.announced, session.departed = state, True, False
         session.heard_at = now
-        if session.verified and (changed or news):
+        if session.verified and (changed or first):
             self.memory.put(TargetSeen(state))
         if changed:
             log_event("target:draining", target=state.life.id, runs=len(session.runs))
-        if changed or news or session.failures:
+        if changed or first or session.failures:
             self.room_changed()
 
     def begin_life(self, state: TargetState, now: float) -> None:
