--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -990,12 +990,7 @@
     assert guard.messages(RunsRefused) == []
     (stop,) = guard.orders(StopOrder)
     assert stop.name == name
-    guard.time += 0.01
-    guard.tell(StopReply(stop, "stopped", 5_000))
-    guard.time += 0.01
-    guard.answer_holds()
-    guard.time += 0.01
-    guard.answer_holds()
+    finish_stop(guard, stop)
     (ended,) = guard.messages(RunsEnded)
     assert [(e.name, e.how) for e in ended.endings] == [(name, "start_unanswered")]
 
