Derive the lease times from the times that the deployment gives

Seen by reading: the promise that a task has no two runs rests on the time to a caller's next attempt, the longest target lease and the time of a stop. The settings file gives all three and nothing read them; leases.py had 1.3 s, 1.0 s and 50 ms as constants and prose. Where a deployment sets resend_ms to 1000, runs of a silent owner ended 46 ms after its caller's next attempt; with stop_ms 200 an owner placed tasks again 96 ms before the runs had stopped; with hold_max_ms 2000 runs left by a guard's or a target's earlier incarnation were taken as gone 1 s too soon. No log line said so.

The platform now fills in caller_retry_ms, max_target_lease_ms and stop_ms. They are optional, so older settings files load. state/lease_times.py derives owner lease, overrun and target lease from them as a function over values, and the dispatcher and the lease holder get the result handed in. Times longer than the usual ones lengthen no owner lease, since that would only delay the next run of a task whose guard is silent. A process whose owner lease would be shorter than two guard heartbeats does not start, and names the least caller_retry_ms.

At the usual times all lease times are what they were: 0.6, 0.4, 0.75, 1.0 and 0.1 s, 1.1 s in all (test_lease_times_at_the_usual_deployment_times). Looked at and left: the other times of the settings, by docs/PLATFORM.md, "Times that the deployment gives".

All pass now. Existing tests keep their checks; they take the constants from the derived values.

--- a/hawthorntrack/coordination/dispatcher.py
+++ b/hawthorntrack/coordination/dispatcher.py
@@ -32,6 +32,7 @@
 from hawthorntrack.state.catalogue import Queue, QueueIndex
 from hawthorntrack.state.clock import Clock
 from hawthorntrack.state.event_log import log_event
+from hawthorntrack.state.lease_times import LeaseTimes
 from hawthorntrack.state.mailbox import Mailbox, Tick
 from hawthorntrack.state.metrics import (
     JOB_SECONDS,
@@ -99,6 +100,8 @@
     drain_s : float
         Time in seconds from a `Drain` to the `DrainDeadlinePassed` that answers the
         jobs still open.
+    lease_times : LeaseTimes
+        Durations of leases.
     """
 
     def __init__(
@@ -111,8 +114,9 @@
         on_ready: Callable[[bool, str], None],
         clock: Clock,
         drain_s: float,
+        lease_times: LeaseTimes,
     ) -> None:
-        super().__init__(zone, far_factor, send, clock)
+        super().__init__(zone, far_factor, send, clock, lease_times)
         self.links = links
         self.drained = drained
         self.on_ready = on_ready
--- a/hawthorntrack/coordination/guard_peer.py
+++ b/hawthorntrack/coordination/guard_peer.py
@@ -3,6 +3,7 @@
 from hawthorntrack.coordination import leases
 from hawthorntrack.coordination.target_selection import TargetCandidate
 from hawthorntrack.protocol.run_messages import TargetStatus
+from hawthorntrack.state.lease_times import LeaseTimes
 from hawthorntrack.state.plans import RunName, TaskName
 from hawthorntrack.state.resources import Resources
 
@@ -21,6 +22,8 @@
     ----------
     address : str
         Address of the guard.
+    lease_times : LeaseTimes
+        Durations of leases.
     nonce : str
         Identifies the incarnation of the guard to which the runs were sent.
     linked : bool
@@ -47,8 +50,9 @@
         arrived; in seconds, suspended time included.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, lease_times: LeaseTimes) -> None:
         self.address = address
+        self.lease_times = lease_times
         self.nonce = ""
         self.linked = False
         self.target_status = NO_TARGET
@@ -98,10 +102,11 @@
         Their leases were granted before the first message of the present incarnation
         arrived.
         """
+        times = self.lease_times
         return now > leases.runs_stopped_by(
-            leases.latest_lease_end(self.incarnation_heard_at)
+            times, leases.latest_lease_end(times, self.incarnation_heard_at)
         )
 
     def runs_gone_by(self) -> float:
         """Return the time by which all runs have stopped if the guard stays silent."""
-        return leases.runs_gone_by(self.heartbeat_at)
+        return leases.runs_gone_by(self.lease_times, self.heartbeat_at)
--- a/hawthorntrack/coordination/leaseholder.py
+++ b/hawthorntrack/coordination/leaseholder.py
@@ -36,13 +36,13 @@
 from hawthorntrack.state.actor import handles
 from hawthorntrack.state.clock import Clock
 from hawthorntrack.state.event_log import log_event
+from hawthorntrack.state.lease_times import GUARD_HEARTBEAT_INTERVAL_S, LeaseTimes
 from hawthorntrack.state.mailbox import Mailbox, Tick
 from hawthorntrack.state.metrics import NOT_RUN, labelled
 from hawthorntrack.state.naming import exposed_name
 from hawthorntrack.state.plans import RunName, TaskName
 from hawthorntrack.state.values import Incarnation
 
-GUARD_HEARTBEAT_INTERVAL_S = 0.2
 # Changes of capacity within this time are combined into one report.
 CAPACITY_REPORT_DELAY_S = 0.004
 # Owners that reconnect within this time can still ask how their runs ended.
@@ -77,6 +77,8 @@
         Returns seconds, including time for which the machine was suspended.
     first_token : int
         First fencing token.
+    lease_times : LeaseTimes
+        Durations of leases.
 
     Attributes
     ----------
@@ -100,8 +102,9 @@
         drained: Mailbox,
         clock: Clock,
         first_token: int,
+        lease_times: LeaseTimes,
     ) -> None:
-        super().__init__(calls, target_record, clock, first_token)
+        super().__init__(calls, target_record, clock, first_token, lease_times)
         self.send = send
         self.drained = drained
         self.entry_nonces: dict[str, str] = {}
@@ -215,7 +218,9 @@
         """Extend an owner's lease; update its subscription and the zones in service."""
         self.extend_owner_lease(
             sender.address,
-            leases.owner_lease_end(confirmation.guard_clock_ms, self.clock()),
+            leases.owner_lease_end(
+                self.lease_times, confirmation.guard_clock_ms, self.clock()
+            ),
         )
         if confirmation.needs_capacity_updates:
             self.capacity_subscribers.add(sender.address)
@@ -240,7 +245,7 @@
         session = self.current_session()
         accepted: list[RunName] = []
         refused: dict[str, list[RunName]] = defaultdict(list)
-        lease_end = leases.owner_lease_end(order.guard_clock_ms, now)
+        lease_end = leases.owner_lease_end(self.lease_times, order.guard_clock_ms, now)
         self.extend_owner_lease(sender.address, lease_end)
         status = self.status(session, now) if lease_end > now else "stale_order"
         free = session.free if session is not None else None
--- a/hawthorntrack/coordination/leases.py
+++ b/hawthorntrack/coordination/leases.py
@@ -9,24 +9,12 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-# Targets grant no lease longer than this, measured on their own clocks.
-MAX_TARGET_LEASE_S = 1.0
-# A target lease of this duration ends within OWNER_LEASE_OVERRUN_S after the owner
-# lease, even if the owner lease is based on a guard heartbeat that is 0.2 s old:
-# 0.75 s <= 0.6 s - 0.2 s + 0.4 s.
-TARGET_LEASE_S = 0.75
+from hawthorntrack.state.lease_times import LeaseTimes
+
 # Covers targets' clocks, which run up to 2% slow.
 MAX_CLOCK_DRIFT_FACTOR = 1.03
-# Equals three guard heartbeat intervals. A caller retries 1.3 s after its connection
-# breaks, so runs must have stopped before that.
-OWNER_LEASE_S = 0.6
-# A target lease may end this much after the owner lease. Both together and the stop of
-# a run take less than the 1.3 s after which a caller retries.
-OWNER_LEASE_OVERRUN_S = 0.4
 # An owner whose link broke has this time to reconnect before its runs are stopped.
 RECONNECT_GRACE_S = 0.25
-# Allows a target twice the time that it takes to stop a run.
-MAX_STOP_DURATION_S = 0.1
 FIRST_TOKEN_STEP = 1_000
 
 
@@ -69,51 +57,60 @@
     return clock.clock_ms + int((at - clock.read_at) / MAX_CLOCK_DRIFT_FACTOR * 1000)
 
 
-def target_lease_end(now: float, owner_lease_ends: Iterable[float]) -> float:
+def target_lease_end(
+    times: LeaseTimes, now: float, owner_lease_ends: Iterable[float]
+) -> float:
     """Return the end of a target lease, limited by the leases of the runs' owners.
 
     Examples
     --------
-    >>> target_lease_end(10.0, [10.6]), target_lease_end(10.0, [10.6, 10.25])
-    (10.75, 10.65)
+    >>> from hawthorntrack.state.lease_times import DeploymentTimes, derive_lease_times
+    >>> times = derive_lease_times(DeploymentTimes())
+    >>> target_lease_end(times, 10.0, [10.6])
+    10.75
+    >>> target_lease_end(times, 10.0, [10.6, 10.25])
+    10.65
     """
     return min(
         [
-            now + TARGET_LEASE_S,
-            *(end + OWNER_LEASE_OVERRUN_S for end in owner_lease_ends),
+            now + times.target_lease_s,
+            *(end + times.owner_lease_overrun_s for end in owner_lease_ends),
         ]
     )
 
 
-def overruns_owner_lease(lease_end: float, owner_lease_end: float) -> bool:
+def overruns_owner_lease(
+    times: LeaseTimes, lease_end: float, owner_lease_end: float
+) -> bool:
     """Return whether a target lease ends too long after an owner lease."""
-    return lease_end > owner_lease_end + OWNER_LEASE_OVERRUN_S
+    return lease_end > owner_lease_end + times.owner_lease_overrun_s
 
 
-def latest_lease_end(now: float) -> float:
+def latest_lease_end(times: LeaseTimes, now: float) -> float:
     """Return the latest end of a lease granted by now, whatever end was requested."""
-    return now + MAX_TARGET_LEASE_S * MAX_CLOCK_DRIFT_FACTOR
+    return now + times.max_target_lease_s * MAX_CLOCK_DRIFT_FACTOR
 
 
-def runs_stopped_by(lease_end: float) -> float:
+def runs_stopped_by(times: LeaseTimes, lease_end: float) -> float:
     """Return when all runs under a lease have been stopped by its expiry."""
-    return lease_end + MAX_STOP_DURATION_S
+    return lease_end + times.stop_duration_s
 
 
-def runs_gone_by(last_heartbeat_at: float) -> float:
+def runs_gone_by(times: LeaseTimes, last_heartbeat_at: float) -> float:
     """Return the time by which an owner's runs at a silent guard have certainly ended.
 
     Explanation
     -----------
     The owner confirms its lease with timestamps from guard heartbeats only, so the
-    owner lease ends at most `OWNER_LEASE_S` after the newest heartbeat that the owner
-    has received. No target lease ends more than `OWNER_LEASE_OVERRUN_S` after that,
+    owner lease ends at most `owner_lease_s` after the newest heartbeat that the owner
+    has received. No target lease ends more than `owner_lease_overrun_s` after that,
     even if the guard is suspended or its stop orders are lost.
     """
-    return runs_stopped_by(last_heartbeat_at + OWNER_LEASE_S + OWNER_LEASE_OVERRUN_S)
+    lease_and_overrun_s = times.owner_lease_s + times.owner_lease_overrun_s
+    return runs_stopped_by(times, last_heartbeat_at + lease_and_overrun_s)
 
 
-def owner_lease_end(guard_clock_ms: int, now: float) -> float:
+def owner_lease_end(times: LeaseTimes, guard_clock_ms: int, now: float) -> float:
     """Return when an owner lease ends, given the guard timestamp that it is based on.
 
     Explanation
@@ -123,6 +120,8 @@
 
     Parameters
     ----------
+    times : LeaseTimes
+        Durations of leases.
     guard_clock_ms : int
         Timestamp from a guard heartbeat, in milliseconds of the guard's clock.
     now : float
@@ -130,11 +129,13 @@
 
     Examples
     --------
-    >>> owner_lease_end(9_900, 10.0), owner_lease_end(64_564_000, 10.0)
+    >>> from hawthorntrack.state.lease_times import DeploymentTimes, derive_lease_times
+    >>> times = derive_lease_times(DeploymentTimes())
+    >>> owner_lease_end(times, 9_900, 10.0), owner_lease_end(times, 64_564_000, 10.0)
     (10.5, 0.0)
     """
     ahead = guard_clock_ms > round(now * 1000)
-    return 0.0 if ahead else guard_clock_ms / 1000 + OWNER_LEASE_S
+    return 0.0 if ahead else guard_clock_ms / 1000 + times.owner_lease_s
 
 
 def expired_owners(owner_lease_ends: Mapping[str, float], now: float) -> set[str]:
--- a/hawthorntrack/coordination/run_controller.py
+++ b/hawthorntrack/coordination/run_controller.py
@@ -31,6 +31,7 @@
 from hawthorntrack.state.actor import handles
 from hawthorntrack.state.clock import Clock
 from hawthorntrack.state.event_log import log_event
+from hawthorntrack.state.lease_times import LeaseTimes
 from hawthorntrack.state.mailbox import Mailbox
 from hawthorntrack.state.metrics import BAD_INPUT, RETRIES, STARTS, labelled
 from hawthorntrack.state.plans import RunName, TargetState, TaskName
@@ -68,7 +69,7 @@
 
     Parameters
     ----------
-    calls, clock, first_token
+    calls, clock, first_token, lease_times
         As for `RunReconciler`.
     target_record : Mailbox
         Receives `TargetStateChanged`.
@@ -80,9 +81,14 @@
     """
 
     def __init__(
-        self, calls: Mailbox, target_record: Mailbox, clock: Clock, first_token: int
+        self,
+        calls: Mailbox,
+        target_record: Mailbox,
+        clock: Clock,
+        first_token: int,
+        lease_times: LeaseTimes,
     ) -> None:
-        super().__init__(calls, clock, first_token)
+        super().__init__(calls, clock, first_token, lease_times)
         self.target_record = target_record
         self.run_numbers: dict[TaskName, int] = {}
 
@@ -184,7 +190,7 @@
         The guard detects a crash some time after it happened. A start order sent in
         between is executed by the new incarnation, which has the same id.
         """
-        latest_end = leases.latest_lease_end(self.clock())
+        latest_end = leases.latest_lease_end(self.lease_times, self.clock())
         session.inherited_leases_end = max(older.all_leases_end, latest_end)
         session.runs = older.runs
         for run in session.runs.values():
@@ -251,7 +257,7 @@
         now = self.clock()
         owner_lease_end = self.owner_lease_ends.get(run.owner, 0.0)
         if owner_lease_end <= now or leases.overruns_owner_lease(
-            session.all_leases_end, owner_lease_end
+            self.lease_times, session.all_leases_end, owner_lease_end
         ):
             self.abandon_start(session, run, "owner_silent")
             return
--- a/hawthorntrack/coordination/run_placement.py
+++ b/hawthorntrack/coordination/run_placement.py
@@ -35,6 +35,7 @@
 from hawthorntrack.state.clock import Clock
 from hawthorntrack.state.directives import Directives
 from hawthorntrack.state.event_log import log_event
+from hawthorntrack.state.lease_times import LeaseTimes
 from hawthorntrack.state.metrics import (
     RETRIES,
     WAIT_SECONDS,
@@ -71,6 +72,8 @@
         Sends a message; called with a peer's address and the message.
     clock : callable
         Returns seconds, including time for which the machine was suspended.
+    lease_times : LeaseTimes
+        Durations of leases.
     """
 
     def __init__(
@@ -79,12 +82,14 @@
         far_factor: float,
         send: Callable[[str, Any], None],
         clock: Clock,
+        lease_times: LeaseTimes,
     ) -> None:
         super().__init__()
         self.zone = zone
         self.far_factor = far_factor
         self.send = send
         self.clock = clock
+        self.lease_times = lease_times
         self.directives = Directives()
         self.jobs: dict[str, Job] = {}
         self.peers: dict[str, GuardPeer] = {}
@@ -240,7 +245,8 @@
         """Return the record of a guard; set the time of its last message to now."""
         peer = self.peers.get(sender.address)
         if peer is None:
-            peer = self.peers[sender.address] = GuardPeer(sender.address)
+            peer = GuardPeer(sender.address, self.lease_times)
+            self.peers[sender.address] = peer
         peer.heard_at = self.clock()
         return peer
 
--- a/hawthorntrack/coordination/run_reconciler.py
+++ b/hawthorntrack/coordination/run_reconciler.py
@@ -25,6 +25,7 @@
 from hawthorntrack.state.actor import Actor, handles
 from hawthorntrack.state.clock import Clock
 from hawthorntrack.state.event_log import log_event
+from hawthorntrack.state.lease_times import LeaseTimes
 from hawthorntrack.state.mailbox import Mailbox
 from hawthorntrack.state.metrics import RETRIES, STARTS, labelled
 from hawthorntrack.state.plans import RunName, TargetState
@@ -56,6 +57,8 @@
         Returns seconds, including time for which the machine was suspended.
     first_token : int
         First fencing token.
+    lease_times : LeaseTimes
+        Durations of leases.
 
     Attributes
     ----------
@@ -69,11 +72,14 @@
         Moving average of measured run time over declared run time.
     """
 
-    def __init__(self, calls: Mailbox, clock: Clock, first_token: int) -> None:
+    def __init__(
+        self, calls: Mailbox, clock: Clock, first_token: int, lease_times: LeaseTimes
+    ) -> None:
         super().__init__()
         self.calls = calls
         self.clock = clock
         self.next_token = first_token
+        self.lease_times = lease_times
         self.sessions: dict[str, TargetSession] = {}
         self.owner_lease_ends: dict[str, float] = {}
         self.health = health_rules.Health()
@@ -198,7 +204,7 @@
                 for run in session.runs.values()
                 if run.phase != STOPPING
             ]
-            lease_end = leases.target_lease_end(now, owner_lease_ends)
+            lease_end = leases.target_lease_end(self.lease_times, now, owner_lease_ends)
             session.lease_end = max(session.lease_end, lease_end)
         return leases.to_target_clock_ms(session.clock, session.lease_end)
 
@@ -393,7 +399,7 @@
         The runs count as lapsed once every lease on the target has expired.
         """
         if session.failures and session.runs:
-            if now > leases.runs_stopped_by(session.all_leases_end):
+            if now > leases.runs_stopped_by(self.lease_times, session.all_leases_end):
                 self.finish_runs(
                     session, [(run, "lapsed") for run in session.runs.values()]
                 )
--- a/hawthorntrack/coordination/tests/test_decisions.py
+++ b/hawthorntrack/coordination/tests/test_decisions.py
@@ -3,7 +3,7 @@
 import random
 
 import pytest
-from hypothesis import HealthCheck, given
+from hypothesis import HealthCheck, assume, given
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
@@ -17,6 +17,7 @@
 )
 from hawthorntrack.coordination.control_view import fleet_poll_interval_s
 from hawthorntrack.coordination.fairness import WeightedFairQueue
+from hawthorntrack.coordination.leaseholder import GUARD_HEARTBEAT_INTERVAL_S
 from hawthorntrack.coordination.membership import (
     choose_witness,
     eligible_guards,
@@ -29,6 +30,7 @@
     policies,
 )
 from hawthorntrack.coordination.retries import decide_retry, new_budget
+from hawthorntrack.coordination.run_reconciler import RENEWAL_LONG_POLL_S
 from hawthorntrack.coordination.slot_assignment import (
     MembershipSnapshot,
     plan_slot_action,
@@ -43,6 +45,12 @@
 from hawthorntrack.state.guard_stats import GuardStats
 from hawthorntrack.state.guard_view import GuardView
 from hawthorntrack.state.hashing import rendezvous, slot_of
+from hawthorntrack.state.lease_times import (
+    DeploymentTimes,
+    LeaseTimes,
+    derive_lease_times,
+    min_caller_retry_ms,
+)
 from hawthorntrack.state.slots import (
     CLAIMING,
     FORMING,
@@ -463,9 +471,53 @@
 def test_runs_of_a_lost_owner_end_before_its_caller_retries():
     """Checked for 100 lease times and the slowest target clock, which is 2% slow."""
     longest_stop_s, slowest_pace = 0.05, 0.98
+    times = derive_lease_times(DeploymentTimes())
     clock = leases.TargetClockReading(0, 0.0)
     for granted_at in [step / 100 for step in range(100)]:
-        ends = leases.target_lease_end(granted_at, [leases.OWNER_LEASE_S])
+        ends = leases.target_lease_end(times, granted_at, [times.owner_lease_s])
         over = leases.to_target_clock_ms(clock, ends) / 1000 / slowest_pace
-        assert over + longest_stop_s < leases.runs_gone_by(0.0)
-    assert leases.runs_gone_by(0.0) < CALLER_RETRY_S
+        assert over + longest_stop_s < leases.runs_gone_by(times, 0.0)
+    assert leases.runs_gone_by(times, 0.0) < CALLER_RETRY_S
+
+
+@given(
+    caller_retry_ms=st.floats(500, 5_000),
+    stop_ms=st.floats(1, 1_000),
+    max_target_lease_ms=st.floats(100, 10_000),
+)
+def test_lease_times_of_any_deployment_end_runs_before_callers_retry(
+    caller_retry_ms, stop_ms, max_target_lease_ms
+):
+    """The largest sum: heartbeat, owner lease, overrun, slow target clock, stop."""
+    assume(caller_retry_ms >= min_caller_retry_ms(stop_ms))
+    times = derive_lease_times(
+        DeploymentTimes(caller_retry_ms, max_target_lease_ms, stop_ms)
+    )
+    clock = leases.TargetClockReading(0, 0.0)
+    owner_lease_end = leases.owner_lease_end(times, 0, 0.0)
+    for granted_at in [step / 20 for step in range(20)]:
+        ends = leases.target_lease_end(times, granted_at, [owner_lease_end])
+        over = leases.to_target_clock_ms(clock, ends) / 1000 / 0.98
+        assert over + stop_ms / 1000 < leases.runs_gone_by(times, 0.0)
+    assert leases.runs_gone_by(times, 0.0) < caller_retry_ms / 1000
+    longest_lease_s = max_target_lease_ms / 1000 / 0.98
+    assert longest_lease_s < leases.latest_lease_end(times, 0.0)
+    assert times.owner_lease_s >= 2 * GUARD_HEARTBEAT_INTERVAL_S
+    assert times.target_lease_s >= 2 * RENEWAL_LONG_POLL_S
+
+
+def test_lease_times_at_the_usual_deployment_times():
+    times = derive_lease_times(DeploymentTimes(1_300.0, 1_000.0, 50.0))
+    assert times == derive_lease_times(DeploymentTimes())
+    assert times == LeaseTimes(0.6, 0.4, 0.75, 1.0, 0.1)
+    assert leases.runs_gone_by(times, 0.0) == 1.1
+    assert leases.latest_lease_end(times, 0.0) == 1.03
+
+
+@pytest.mark.parametrize(
+    "deployment_times",
+    [{"caller_retry_ms": 60_000}, {"stop_ms": 1}, {"max_target_lease_ms": 10_000}],
+)
+def test_owner_leases_do_not_grow_with_the_deployment_times(deployment_times):
+    times = derive_lease_times(DeploymentTimes(**deployment_times))
+    assert times[:3] == derive_lease_times(DeploymentTimes())[:3]
--- a/hawthorntrack/coordination/tests/test_dispatcher.py
+++ b/hawthorntrack/coordination/tests/test_dispatcher.py
@@ -1,9 +1,11 @@
 """Tests of the dispatcher: multi-step jobs, and guards that fail or restart."""
 
 import asyncio
+from functools import partial
 
 import pytest
 
+from hawthorntrack.coordination import leases
 from hawthorntrack.coordination.dispatcher import (
     MIN_DRAIN_S,
     RUN_NUMBERS_RETENTION_S,
@@ -11,7 +13,6 @@
     Dispatcher,
 )
 from hawthorntrack.coordination.guard_peer import LINK_TIMEOUT_S
-from hawthorntrack.coordination.leases import runs_gone_by
 from hawthorntrack.protocol.job_requests import (
     CallerDisconnected,
     CancelPlan,
@@ -39,6 +40,7 @@
 from hawthorntrack.state.actor import Delivery
 from hawthorntrack.state.catalogue import Catalogue, Queue
 from hawthorntrack.state.directives import Directives
+from hawthorntrack.state.lease_times import DeploymentTimes, derive_lease_times
 from hawthorntrack.state.mailbox import Mailbox, Tick
 from hawthorntrack.state.plans import JobPlan, StepSpec
 from hawthorntrack.state.resources import Resources
@@ -65,12 +67,14 @@
 DRAIN_S = 5.0
 # Targets grant leases of up to 1 s on their clocks, which are up to 2% slow.
 MAX_LEASE_S = 1.0 / 0.98
+LEASE_TIMES = derive_lease_times(DeploymentTimes())
+runs_gone_by = partial(leases.runs_gone_by, LEASE_TIMES)
 
 
 class DispatcherHarness:
     """A dispatcher with a manual clock, which records what it sends."""
 
-    def __init__(self, loop) -> None:
+    def __init__(self, loop, lease_times=LEASE_TIMES) -> None:
         self.time = 1_000.0
         self.loop = loop
         self.links = Mailbox("links")
@@ -88,6 +92,7 @@
             self.record_ready,
             lambda: self.time,
             DRAIN_S,
+            lease_times,
         )
         self.dispatcher.post_later = lambda delay_s, body: self.delayed.append(body)
 
@@ -736,6 +741,30 @@
     assert set(check.runs) == set(runs)
 
 
+def test_runs_of_a_restarted_guard_are_waited_out_where_targets_grant_longer_leases(
+    loop,
+):
+    """The longest lease was taken to be 1 s in every deployment."""
+    entry = DispatcherHarness(
+        loop, derive_lease_times(DeploymentTimes(max_target_lease_ms=2_000))
+    )
+    entry.set_directives()
+    entry.connect_guard(GUARD_1)
+    entry.submit()
+    runs = [run for _, run in entry.take_starts()]
+    entry.deliver(LinkDown(GUARD_1.address))
+    restarted = GUARD_1._replace(nonce="g9")
+    entry.connect_guard(restarted, target="t-new")
+    for _ in range(int(2 * MAX_LEASE_S / 0.1)):
+        entry.advance(0.1)
+        entry.send_heartbeat(restarted, target="t-new")
+        assert not any(check.runs for _, check in entry.take_messages(CheckRuns))
+    entry.advance(0.2)
+    entry.send_heartbeat(restarted, target="t-new")
+    ((_, check),) = entry.take_messages(CheckRuns)
+    assert set(check.runs) == set(runs)
+
+
 def test_restarted_guard_whose_target_drains_is_asked_after_the_lease(placed_job):
     """A draining target never reports ready; past the lease its runs have stopped."""
     entry, _, runs = placed_job
--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -1,14 +1,13 @@
 """Tests of the lease holder: runs, leases, and targets that fail or do not answer."""
 
+from functools import partial
+
 import pytest
 
+from hawthorntrack.coordination import leases
 from hawthorntrack.coordination.leaseholder import LeaseHolder, ReportCapacity
 from hawthorntrack.coordination.leases import (
-    MAX_STOP_DURATION_S,
-    OWNER_LEASE_S,
-    TARGET_LEASE_S,
     TargetClockReading,
-    runs_gone_by,
     to_target_clock_ms,
 )
 from hawthorntrack.coordination.run_controller import (
@@ -41,6 +40,7 @@
     TargetHeartbeat,
 )
 from hawthorntrack.state.actor import Delivery
+from hawthorntrack.state.lease_times import DeploymentTimes, derive_lease_times
 from hawthorntrack.state.mailbox import Mailbox, Tick
 from hawthorntrack.state.plans import (
     RunEnd,
@@ -64,6 +64,11 @@
 SLOWEST_CLOCK_RATE = 0.98
 # Specified time from a broken connection, 502 or 504 to the caller's next attempt.
 CALLER_RETRY_S = 1.3
+LEASE_TIMES = derive_lease_times(DeploymentTimes())
+OWNER_LEASE_S = LEASE_TIMES.owner_lease_s
+TARGET_LEASE_S = LEASE_TIMES.target_lease_s
+MAX_STOP_DURATION_S = LEASE_TIMES.stop_duration_s
+runs_gone_by = partial(leases.runs_gone_by, LEASE_TIMES)
 
 
 class OrderMailbox(Mailbox):
@@ -82,7 +87,7 @@
 class Guard:
     """A lease holder with a clock and mailboxes that the test controls."""
 
-    def __init__(self) -> None:
+    def __init__(self, lease_times=LEASE_TIMES) -> None:
         self.time = 1_000.0
         self.clock_rate = 1.0
         self.calls = OrderMailbox()
@@ -95,6 +100,7 @@
             Mailbox("drained"),
             lambda: self.time,
             first_token=50,
+            lease_times=lease_times,
         )
         self.holder.post_later = lambda delay_s, message: None
 
@@ -660,6 +666,59 @@
     )
 
 
+@pytest.mark.parametrize("suspended_s", [0.0, 0.3, 0.55, 0.95])
+@pytest.mark.parametrize(
+    "deployment_times",
+    [
+        {"caller_retry_ms": 1_000},
+        {"stop_ms": 200},
+        {"caller_retry_ms": 1_100, "stop_ms": 80},
+        {"max_target_lease_ms": 2_000},
+    ],
+)
+def test_runs_end_before_the_retry_that_the_deployment_gives(
+    run, deployment_times, suspended_s
+):
+    """Lease times were constants that held for one set of deployment times only."""
+    given = DeploymentTimes(**deployment_times)
+    guard = Guard(derive_lease_times(given))
+    guard.clock_rate = SLOWEST_CLOCK_RATE
+    guard.announce()
+    guard.answer_renewals()
+    guard.deliver(Hello("entry", "recife", "entry-1"), ENTRY)
+    (name,) = guard.order_runs()
+    guard.answer_starts()
+    owner_gone_at = guard.time
+    guard.time += suspended_s
+    guard.answer_renewals([RunStatus(name, 2)])
+    lose_stops(guard, name, confirming=False)
+    stopped_at = guard.longest_lease_end() + given.stop_ms / 1_000
+    assert stopped_at <= leases.runs_gone_by(guard.holder.lease_times, owner_gone_at)
+    assert stopped_at < owner_gone_at + given.caller_retry_ms / 1_000
+
+
+def test_runs_count_as_lapsed_only_after_the_longest_lease_of_the_deployment(run):
+    guard = Guard(derive_lease_times(DeploymentTimes(max_target_lease_ms=2_000)))
+    guard.announce()
+    guard.answer_renewals()
+    (name,) = guard.order_runs()
+    guard.answer_starts()
+    guard.answer_renewals([RunStatus(name, 1)])
+    guard.announce(INCARNATION._replace(born_ms=200))
+    granted_at = guard.time
+    while guard.time < granted_at + 2.0 / SLOWEST_CLOCK_RATE + 0.05:
+        guard.take_orders(StopOrder)
+        guard.answer_renewals(outcome="unanswered")
+        guard.deliver(Tick())
+        assert guard.take_messages(RunsEnded) == []
+        guard.time += 0.1
+    guard.time += 0.1
+    guard.deliver(Tick())
+    assert [e.end_state for m in guard.take_messages(RunsEnded) for e in m.endings] == [
+        "lapsed"
+    ]
+
+
 @pytest.mark.parametrize("outcome", ["late", "fenced", "old_run"])
 def test_refused_start_is_not_retried_after_its_owners_lease_expired(guard, outcome):
     """The refusal is handled late, because the guard was suspended."""
--- a/hawthorntrack/daemon/node.py
+++ b/hawthorntrack/daemon/node.py
@@ -205,6 +205,7 @@
         on_ready,
         seconds_since_boot,
         settings.grace_s - SHUTDOWN_RESERVE_S,
+        settings.lease_times,
     )
     callers_handler = CallersHandler(dispatcher.mailbox)
     node.bus.listeners.append(dispatcher.mailbox)
@@ -239,6 +240,7 @@
         node.drained,
         seconds_since_boot,
         int(time.time() * 1000),
+        settings.lease_times,
     )
     target_calls.replies = target_record.holder = lease_holder.mailbox
     node.bus.listeners.append(lease_holder.mailbox)
--- a/hawthorntrack/experiment/model_site.py
+++ b/hawthorntrack/experiment/model_site.py
@@ -27,6 +27,7 @@
 from hawthorntrack.state.actor import Actor, Delivery
 from hawthorntrack.state.catalogue import Catalogue, Queue, Service
 from hawthorntrack.state.directives import Directives
+from hawthorntrack.state.lease_times import DeploymentTimes, derive_lease_times
 from hawthorntrack.state.mailbox import Mailbox, tick
 from hawthorntrack.state.plans import JobPlan, RunName, StepSpec, TaskName
 from hawthorntrack.state.resources import Resources
@@ -354,6 +355,7 @@
             on_ready,
             self.clock,
             DRAIN_S,
+            derive_lease_times(DeploymentTimes()),
         )
         dispatcher.queue_order = self.order
         process.start(dispatcher, ENTRY_TICK_S)
@@ -373,6 +375,7 @@
             Mailbox("drained"),
             self.clock,
             1_000,
+            derive_lease_times(DeploymentTimes()),
         )
         target.replies = holder.mailbox
         process.start(holder, GUARD_TICK_S)
--- a/hawthorntrack/platform/tests/conftest.py
+++ b/hawthorntrack/platform/tests/conftest.py
@@ -25,6 +25,7 @@
     TargetHeartbeat,
 )
 from hawthorntrack.state.actor import Delivery
+from hawthorntrack.state.lease_times import DeploymentTimes, derive_lease_times
 from hawthorntrack.state.mailbox import Mailbox, Tick
 from hawthorntrack.state.plans import RunName, TaskName
 from hawthorntrack.state.resources import Resources
@@ -128,6 +129,7 @@
             Mailbox("drained"),
             lambda: self.time,
             first_token=50,
+            lease_times=derive_lease_times(DeploymentTimes()),
         )
         self.holder.post_later = lambda delay_s, message: None
         self.holder.handle(
--- a/hawthorntrack/state/node_settings.py
+++ b/hawthorntrack/state/node_settings.py
@@ -4,10 +4,18 @@
 
 import msgspec
 
+from hawthorntrack.state.lease_times import (
+    MIN_OWNER_LEASE_MS,
+    DeploymentTimes,
+    LeaseTimes,
+    derive_lease_times,
+    min_caller_retry_ms,
+)
 from hawthorntrack.state.settings import check_address
-from hawthorntrack.state.validation import check, load_yaml
+from hawthorntrack.state.validation import InvalidInput, check, load_yaml
 
 Seconds = Annotated[float, msgspec.Meta(ge=0)]
+Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=600_000)]
 Factor = Annotated[float, msgspec.Meta(ge=1)]
 
 
@@ -32,6 +40,9 @@
     seeds: NotRequired[list[str] | None]
     grace_s: NotRequired[Seconds]
     far_factor: NotRequired[Factor]
+    caller_retry_ms: NotRequired[Milliseconds | None]
+    max_target_lease_ms: NotRequired[Milliseconds | None]
+    stop_ms: NotRequired[Milliseconds | None]
 
 
 class NodeSettings(NamedTuple):
@@ -59,6 +70,8 @@
         Time in seconds from the signal to stop until the process is killed.
     far_factor : float
         Factor on the run time of a task that runs outside the rack of its data.
+    lease_times : LeaseTimes
+        Durations of leases, which follow from the deployment's times.
     """
 
     node: str
@@ -73,6 +86,7 @@
     seeds: tuple[str, ...]
     grace_s: float
     far_factor: float
+    lease_times: LeaseTimes
 
 
 def parse_node_settings(data: Any, source: str) -> NodeSettings:
@@ -105,9 +119,39 @@
         seeds=tuple(seed.rpartition(":")[0] for seed in seeds),
         grace_s=body.get("grace_s", 6.0),
         far_factor=body.get("far_factor", 1.0),
+        lease_times=check_lease_times(body, source),
     )
 
 
+def check_lease_times(body: NodeBody, source: str) -> LeaseTimes:
+    """Return the lease times that follow from the deployment's times.
+
+    Raises
+    ------
+    InvalidInput
+        If `caller_retry_ms` leaves too little time for the heartbeats that keep an
+        owner lease alive.
+    """
+    given = DeploymentTimes(
+        **{
+            name: body[name]
+            for name in DeploymentTimes._fields
+            if body.get(name) is not None
+        }
+    )
+    least_ms = min_caller_retry_ms(given.stop_ms)
+    if given.caller_retry_ms < least_ms:
+        raise InvalidInput(
+            source,
+            "caller_retry_ms",
+            f"{given.caller_retry_ms:g} leaves less than {MIN_OWNER_LEASE_MS} ms, two "
+            "guard heartbeats, for the owner lease",
+            f"With stop_ms {given.stop_ms:g}, use at least {least_ms}, and let callers "
+            "wait that long before they submit a job again.",
+        )
+    return derive_lease_times(given)
+
+
 def load_node_settings(path: str) -> NodeSettings:
     """Return the validated settings from a YAML file.
 
