Send a guard no order that it will refuse until its next heartbeat

What callers would see: little, since another guard is chosen at once where there is one. What was seen: 85 refusals of one owner's orders as `owner_silent` within 2 s of a soak in which targets crashed.

Cause: an owner stamps its orders with the timestamp of the guard's newest heartbeat. If a guard refuses that timestamp, it refuses every order that carries it, and if its directives take its zone out, only the answer to its next heartbeat brings newer ones. The owner requeued the task and sent it there again after one round trip.

Change: an order that is refused as `owner_silent`, `stale_order` or `zone_out` closes the guard for this owner until the next heartbeat, if the order carried the newest timestamp. A guard that resumes and refuses the orders that queued there is not closed by that. Refusals as `absent`, `unwell` or `draining` bring the status that closes the guard already.

--- a/hawthorntrack/coordination/guard_peer.py
+++ b/hawthorntrack/coordination/guard_peer.py
@@ -12,6 +12,9 @@
 # its runs are no longer confirmed.
 LINK_TIMEOUT_S = 0.8
 NO_TARGET = TargetStatus("absent")
+# A guard refuses orders for these reasons until its next heartbeat has been answered:
+# by an order with a newer timestamp, or by a confirmation with newer directives.
+REFUSALS_UNTIL_HEARTBEAT = frozenset({"owner_silent", "stale_order", "zone_out"})
 
 
 class GuardPeer:
@@ -34,6 +37,8 @@
         Runs that are placed at the guard, by task.
     guard_clock_ms : int
         The guard's clock in its newest heartbeat, in milliseconds.
+    refused_clock_ms : int
+        Timestamp with which the guard refuses all orders; -1 if there is none.
     lease_confirmed_at : float
         Time at which the leases of the runs at the guard were last confirmed, in
         seconds.
@@ -58,6 +63,7 @@
         self.heard_at = 0.0
         self.heartbeat_at = 0.0
         self.guard_clock_ms = 0
+        self.refused_clock_ms = -1
         self.lease_confirmed_at = 0.0
         self.lease_confirmed_stamp = -1
 
@@ -66,6 +72,7 @@
         self.nonce, self.incarnation_heard_at = nonce, self.heard_at
         self.target_status = NO_TARGET
         self.guard_clock_ms = 0
+        self.refused_clock_ms = -1
         self.lease_confirmed_at = 0.0
         self.lease_confirmed_stamp = -1
 
@@ -74,10 +81,29 @@
         if target_status.sequence > self.target_status.sequence:
             self.target_status = target_status
 
+    def record_refusal(self, reason: str, order_clock_ms: int) -> None:
+        """Close the guard until its next heartbeat if only that can end the refusals.
+
+        Explanation
+        -----------
+        An order that was sent before the newest heartbeat says nothing about orders
+        with the timestamp of that heartbeat.
+
+        Parameters
+        ----------
+        reason : str
+            Why the guard refused an order.
+        order_clock_ms : int
+            Timestamp of that order, in milliseconds of the guard's clock.
+        """
+        if reason in REFUSALS_UNTIL_HEARTBEAT and order_clock_ms == self.guard_clock_ms:
+            self.refused_clock_ms = order_clock_ms
+
     def accepts_runs(self, now: float, zones_out: frozenset[str]) -> bool:
         """Return whether new runs may be sent to the guard now."""
         return (
             self.linked
+            and self.guard_clock_ms != self.refused_clock_ms
             and self.target_status.status == "ready"
             and self.target_status.zone not in zones_out
             and now - self.heard_at < MAX_SILENCE_FOR_NEW_RUNS_S
--- a/hawthorntrack/coordination/job_progress.py
+++ b/hawthorntrack/coordination/job_progress.py
@@ -27,6 +27,9 @@
     guard_nonce : str
         Nonce of the guard's incarnation to which the run was sent, or which was last
         asked about it.
+    guard_clock_ms : int
+        Timestamp of the order that placed it there, in milliseconds of the guard's
+        clock.
     target : str
         Target that the guard reported when the task was placed there.
     avoid : frozenset of str
@@ -37,6 +40,7 @@
         "avoid",
         "failures",
         "guard",
+        "guard_clock_ms",
         "guard_nonce",
         "name",
         "number",
@@ -53,6 +57,7 @@
         self.failures = 0
         self.guard = ""
         self.guard_nonce = ""
+        self.guard_clock_ms = 0
         self.target = ""
         self.avoid: frozenset[str] = frozenset()
 
--- a/hawthorntrack/coordination/run_placement.py
+++ b/hawthorntrack/coordination/run_placement.py
@@ -209,6 +209,7 @@
     def record_placement(self, job: Job, task: Task, peer: GuardPeer) -> None:
         """Record that a task is sent to a guard, and charge its queue."""
         task.phase, task.guard, task.guard_nonce = PLACED, peer.address, peer.nonce
+        task.guard_clock_ms = peer.guard_clock_ms
         task.target = peer.target_status.target
         job.begun = True
         peer.runs[task.name] = task.run
@@ -387,6 +388,7 @@
             if found is None:
                 continue
             job, task = found
+            peer.record_refusal(refused.reason, task.guard_clock_ms)
             self.clear_placement(peer, task, number)
             labelled(RETRIES, refused.reason).inc()
             if refused.reason == "invalid":
--- a/hawthorntrack/coordination/tests/test_dispatcher.py
+++ b/hawthorntrack/coordination/tests/test_dispatcher.py
@@ -590,6 +590,48 @@
     assert [run.run for _, run in entry.take_starts()] == [4, 4]
 
 
+@pytest.mark.parametrize("reason", ["owner_silent", "stale_order", "zone_out"])
+def test_refused_order_is_not_repeated_at_a_guard_before_its_next_heartbeat(
+    entry, reason
+):
+    """Seen: 85 refusals of one owner's orders as `owner_silent` within 2 s."""
+    entry.submit(steps=(StepSpec(1, NEED, 0.4),))
+    ((_, run),) = entry.take_starts()
+    entry.refuse_runs(GUARD_1, [run], reason)
+    entry.advance(0.1)
+    assert entry.take_starts() == []
+    entry.send_heartbeat(GUARD_1)
+    assert [to for to, _ in entry.take_starts()] == [GUARD_1.address]
+
+
+@pytest.mark.parametrize("reason", ["owner_silent", "stale_order", "zone_out"])
+def test_task_refused_until_a_heartbeat_is_placed_at_another_guard_at_once(
+    entry, reason
+):
+    entry.connect_guard(GUARD_2, slowness=2.0)
+    entry.submit(steps=(StepSpec(1, NEED, 0.4),))
+    ((_, run),) = entry.take_starts()
+    entry.refuse_runs(GUARD_1, [run], reason)
+    assert [to for to, _ in entry.take_starts()] == [GUARD_2.address]
+
+
+def test_refusal_of_an_order_sent_before_the_newest_heartbeat_closes_no_guard(entry):
+    """A guard that resumes refuses orders that queued there; newer ones are valid."""
+    entry.submit(steps=(StepSpec(1, NEED, 0.4),))
+    ((_, run),) = entry.take_starts()
+    entry.advance(0.1)
+    entry.send_heartbeat(GUARD_1)
+    entry.refuse_runs(GUARD_1, [run], "stale_order")
+    assert [to for to, _ in entry.take_starts()] == [GUARD_1.address]
+
+
+def test_refusal_for_lack_of_capacity_does_not_close_the_guard(entry):
+    entry.submit(steps=(StepSpec(1, NEED, 0.4),))
+    ((_, run),) = entry.take_starts()
+    entry.refuse_runs(GUARD_1, [run], "no_room")
+    assert [to for to, _ in entry.take_starts()] == [GUARD_1.address]
+
+
 def test_run_superseded_by_another_submission_ends_the_job(placed_job):
     entry, reply, runs = placed_job
     entry.end_run(GUARD_1, runs[0], "superseded")
