Count no suspended time on the clock of a target that stands still with its guard

By reading, then by test: the guard computes a lease's end on the target's clock from its last reading plus the time that has passed, suspended time included. The target's steady clock counts no suspended time. Where both stood still together, the next start carried an end that was ahead by the suspension and was limited by the longest target lease only. With an order based on a heartbeat 0.5 s old, the run ended 0.52 s after the time by which its owner takes it as gone, and after the caller's next attempt. Two more paths by the same cause: a lease granted before the suspension ends later than the guard assumed, so another owner's start joined a lease that outlasted its own (by 0.46 s), and runs that still went on were reported as lapsed.

The guard now compares CLOCK_BOOTTIME and CLOCK_MONOTONIC at each message. By the time of a suspension it dates an earlier clock reading later, and takes the leases on the target as ending later; the end that orders carry is not raised by it. This needs no threshold and no further request. A guard whose target went on meanwhile sends its first start with an end that is too early: the target refuses it as late, and the repeated start uses the reading of that answer.

Ruled out: no extrapolation beyond a reading's age, which would cost a request before each start on an idle target.

Not covered: a run whose target stands still past its lease goes on with what was left of it (at most 0.75 s on the target's clock) until the guard's stop arrives; nothing but the target could end it sooner.

Failed before, pass now: test_start_on_a_target_suspended_with_its_guard_does_not_outlast_its_owner, six cases, "assert (1004.5204 + 0.1) <= 1004.1"; test_start_under_a_lease_that_a_suspension_prolonged_does_not_outlast_its_owner, "(1001.471 + 0.1) <= 1001.11"; test_runs_lapse_only_after_a_lease_that_a_suspension_prolonged, "assert [RunsEnded(...)] == []"; test_target_that_was_not_suspended_with_its_guard_gets_runs_at_once, "assert 8640 < 8000".

--- a/hawthorntrack/coordination/leaseholder.py
+++ b/hawthorntrack/coordination/leaseholder.py
@@ -79,6 +79,8 @@
         First fencing token.
     lease_times : LeaseTimes
         Durations of leases.
+    awake_clock : callable
+        Returns seconds, without time for which the machine was suspended.
 
     Attributes
     ----------
@@ -103,8 +105,11 @@
         clock: Clock,
         first_token: int,
         lease_times: LeaseTimes,
+        awake_clock: Clock,
     ) -> None:
-        super().__init__(calls, target_record, clock, first_token, lease_times)
+        super().__init__(
+            calls, target_record, clock, first_token, lease_times, awake_clock
+        )
         self.send = send
         self.drained = drained
         self.entry_nonces: dict[str, str] = {}
--- a/hawthorntrack/coordination/run_controller.py
+++ b/hawthorntrack/coordination/run_controller.py
@@ -69,7 +69,7 @@
 
     Parameters
     ----------
-    calls, clock, first_token, lease_times
+    calls, clock, first_token, lease_times, awake_clock
         As for `RunReconciler`.
     target_record : Mailbox
         Receives `TargetStateChanged`.
@@ -87,8 +87,9 @@
         clock: Clock,
         first_token: int,
         lease_times: LeaseTimes,
+        awake_clock: Clock,
     ) -> None:
-        super().__init__(calls, clock, first_token, lease_times)
+        super().__init__(calls, clock, first_token, lease_times, awake_clock)
         self.target_record = target_record
         self.run_numbers: dict[TaskName, int] = {}
 
--- a/hawthorntrack/coordination/run_reconciler.py
+++ b/hawthorntrack/coordination/run_reconciler.py
@@ -59,6 +59,8 @@
         First fencing token.
     lease_times : LeaseTimes
         Durations of leases.
+    awake_clock : callable
+        Returns seconds, without time for which the machine was suspended.
 
     Attributes
     ----------
@@ -70,21 +72,40 @@
         For each owner of runs, when its lease ends, in seconds of `clock`.
     slowness : float
         Moving average of measured run time over declared run time.
+    suspended_s : float
+        Time for which the machine was suspended, up to a constant.
     """
 
     def __init__(
-        self, calls: Mailbox, clock: Clock, first_token: int, lease_times: LeaseTimes
+        self,
+        calls: Mailbox,
+        clock: Clock,
+        first_token: int,
+        lease_times: LeaseTimes,
+        awake_clock: Clock,
     ) -> None:
         super().__init__()
         self.calls = calls
         self.clock = clock
         self.next_token = first_token
         self.lease_times = lease_times
+        self.awake_clock = awake_clock
+        self.suspended_s = clock() - awake_clock()
         self.sessions: dict[str, TargetSession] = {}
         self.owner_lease_ends: dict[str, float] = {}
         self.health = health_rules.Health()
         self.slowness = 1.0
 
+    def handle(self, message: Any) -> None:
+        """Handle one message, after a check for a suspension of the machine."""
+        suspension_s = self.clock() - self.awake_clock() - self.suspended_s
+        # Below zero if the process lost the processor between the two readings.
+        if suspension_s > 0:
+            self.suspended_s += suspension_s
+            for session in self.sessions.values():
+                session.add_suspension(suspension_s)
+        super().handle(message)
+
     def stop_run(self, session: TargetSession, run: Run, reason: str) -> None:
         """Send a stop order for a run."""
         raise NotImplementedError
--- a/hawthorntrack/coordination/target_session.py
+++ b/hawthorntrack/coordination/target_session.py
@@ -104,8 +104,8 @@
     lease_end : float
         When all leases that were ordered have expired; 0.0 before the first order.
     inherited_leases_end : float
-        When the leases that delayed orders to an earlier incarnation may have started
-        have all expired.
+        When the leases that delayed orders to an earlier incarnation may have started,
+        or that a suspension may have prolonged, have all expired.
     heard_at : float
         When the newest heartbeat, run list or confirmed start arrived, in seconds of
         the guard's clock.
@@ -179,6 +179,19 @@
         moved = same_incarnation and state.address != self.state.address
         return moved or state.service != self.state.service
 
+    def add_suspension(self, duration_s: float) -> None:
+        """Take into account that the target may have been suspended with its guard.
+
+        Explanation
+        -----------
+        The target's clock did not advance meanwhile, so the leases on it end later.
+        `lease_end` is what orders carry and stays as it is.
+        """
+        self.inherited_leases_end = self.all_leases_end + duration_s
+        if self.clock is not None:
+            read_at = self.clock.read_at + duration_s
+            self.clock = self.clock._replace(read_at=read_at)
+
     def record_clock(self, clock_ms: int, now: float) -> None:
         """Store a reading of the target's clock; 0 means that there is none."""
         if clock_ms:
--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -7,6 +7,7 @@
 from hawthorntrack.coordination import leases
 from hawthorntrack.coordination.leaseholder import LeaseHolder, ReportCapacity
 from hawthorntrack.coordination.leases import (
+    MAX_CLOCK_DRIFT_FACTOR,
     TargetClockReading,
     to_target_clock_ms,
 )
@@ -89,6 +90,8 @@
 
     def __init__(self, lease_times=LEASE_TIMES) -> None:
         self.time = 1_000.0
+        self.suspended_s = 0.0
+        self.target_suspended_s = 0.0
         self.clock_rate = 1.0
         self.calls = OrderMailbox()
         self.target_record = Mailbox("memory")
@@ -101,6 +104,7 @@
             lambda: self.time,
             first_token=50,
             lease_times=lease_times,
+            awake_clock=lambda: self.time - self.suspended_s,
         )
         self.holder.post_later = lambda delay_s, message: None
 
@@ -111,13 +115,21 @@
         self.time += seconds
         self.deliver(Tick())
 
+    def suspend(self, seconds, with_target=True):
+        """Suspend the guard's machine, where the target may run as well."""
+        self.time += seconds
+        self.suspended_s += seconds
+        self.target_suspended_s += seconds if with_target else 0.0
+
     def target_clock_ms(self):
         """Return the time of the target's clock."""
-        return 5_000 + round((self.time - 1_000) * 1_000 * self.clock_rate)
+        awake_s = self.time - 1_000 - self.target_suspended_s
+        return 5_000 + round(awake_s * 1_000 * self.clock_rate)
 
     def longest_lease_end(self):
         """Return when the target's clock reaches the end of the longest lease."""
-        return 1_000 + (max(self.calls.leases_ms) - 5_000) / 1_000 / self.clock_rate
+        awake_s = (max(self.calls.leases_ms) - 5_000) / 1_000 / self.clock_rate
+        return 1_000 + self.target_suspended_s + awake_s
 
     def take_orders(self, kind):
         queue = self.calls.queue
@@ -648,13 +660,17 @@
 
 @pytest.mark.parametrize("suspended_s", [0.55, 0.65, 0.95, 2.0])
 @pytest.mark.parametrize("stops_lost", [False, True])
+@pytest.mark.parametrize("with_machine", [False, True])
 def test_runs_at_a_suspended_guard_do_not_outlast_their_owner(
-    slow_running, suspended_s, stops_lost
+    slow_running, suspended_s, stops_lost, with_machine
 ):
     """After the suspension, the answer to a renewal is handled before any tick."""
     guard, name = slow_running
     owner_gone_at = guard.time
-    guard.time += suspended_s
+    if with_machine:
+        guard.suspend(suspended_s, with_target=False)
+    else:
+        guard.time += suspended_s
     guard.answer_renewals([RunStatus(name, 3)])
     if stops_lost:
         lose_stops(guard, name, confirming=False)
@@ -719,6 +735,69 @@
     ]
 
 
+@pytest.mark.parametrize("age_s", [0.0, 0.3, 0.5])
+@pytest.mark.parametrize("suspended_s", [0.3, 3.0])
+def test_start_on_a_target_suspended_with_its_guard_does_not_outlast_its_owner(
+    guard, suspended_s, age_s
+):
+    """The end of the lease lay ahead of the target's clock by the suspension."""
+    guard.clock_rate = SLOWEST_CLOCK_RATE
+    guard.suspend(suspended_s)
+    guard.time += age_s
+    last_heard_at = guard.time - age_s
+    guard.order_runs(age_s=age_s)
+    (start,) = guard.take_orders(StartOrder)
+    longest_ms = guard.target_clock_ms() + 1_000 * LEASE_TIMES.max_target_lease_s
+    guard.calls.leases_ms = [min(start.lease_end_ms, longest_ms)]
+    assert guard.longest_lease_end() + MAX_STOP_DURATION_S <= runs_gone_by(
+        last_heard_at
+    )
+
+
+def test_start_under_a_lease_that_a_suspension_prolonged_does_not_outlast_its_owner(
+    running,
+):
+    """Leases on a target that is suspended with its guard end later."""
+    guard, _ = running
+    guard.deliver(Hello("entry", "olinda", "entry-2"), OTHER)
+    last_heard_at = guard.time
+    guard.suspend(0.5)
+    order = RunOrder(RunName(TaskName("b" * 16, 0, 0, 0), 1), NEED, 400)
+    guard_clock_ms = round(last_heard_at * 1000)
+    guard.deliver(StartRuns(guard_clock_ms, "spec", 9_000, (order,)), OTHER)
+    assert guard.take_orders(
+        StartOrder
+    ) == [] or guard.longest_lease_end() + MAX_STOP_DURATION_S <= runs_gone_by(
+        last_heard_at
+    )
+
+
+def test_runs_lapse_only_after_a_lease_that_a_suspension_prolonged(running):
+    guard, _ = running
+    guard.answer_renewals(outcome="unanswered")
+    guard.suspend(0.5)
+    while guard.time < guard.longest_lease_end():
+        guard.answer_renewals(outcome="unanswered")
+        guard.deliver(Tick())
+        assert guard.take_messages(RunsEnded) == []
+        guard.time += 0.05
+    guard.wait(MAX_STOP_DURATION_S + 0.05)
+    assert [e.end_state for m in guard.take_messages(RunsEnded) for e in m.endings] == [
+        "lapsed"
+    ]
+
+
+def test_target_that_was_not_suspended_with_its_guard_gets_runs_at_once(guard):
+    guard.suspend(3.0, with_target=False)
+    guard.order_runs()
+    (early,) = guard.take_orders(StartOrder)
+    assert early.lease_end_ms < guard.target_clock_ms()
+    guard.deliver(StartReply(early, "late", guard.target_clock_ms()))
+    (start,) = guard.take_orders(StartOrder)
+    lease_s = (start.lease_end_ms - guard.target_clock_ms()) / 1_000
+    assert lease_s == pytest.approx(TARGET_LEASE_S / MAX_CLOCK_DRIFT_FACTOR, abs=0.01)
+
+
 @pytest.mark.parametrize("outcome", ["late", "fenced", "old_run"])
 def test_refused_start_is_not_retried_after_its_owners_lease_expired(guard, outcome):
     """The refusal is handled late, because the guard was suspended."""
--- a/hawthorntrack/daemon/node.py
+++ b/hawthorntrack/daemon/node.py
@@ -26,7 +26,7 @@
 from hawthorntrack.protocol.messages import Envelope, bus_message_types
 from hawthorntrack.protocol.run_messages import Hello
 from hawthorntrack.state.actor import Actor, Delivery
-from hawthorntrack.state.clock import seconds_since_boot
+from hawthorntrack.state.clock import seconds_awake, seconds_since_boot
 from hawthorntrack.state.directives import Member
 from hawthorntrack.state.event_log import log_event
 from hawthorntrack.state.mailbox import Mailbox, tick
@@ -241,6 +241,7 @@
         seconds_since_boot,
         int(time.time() * 1000),
         settings.lease_times,
+        seconds_awake,
     )
     target_calls.replies = target_record.holder = lease_holder.mailbox
     node.bus.listeners.append(lease_holder.mailbox)
--- a/hawthorntrack/experiment/model_site.py
+++ b/hawthorntrack/experiment/model_site.py
@@ -376,6 +376,7 @@
             self.clock,
             1_000,
             derive_lease_times(DeploymentTimes()),
+            self.clock,
         )
         target.replies = holder.mailbox
         process.start(holder, GUARD_TICK_S)
--- a/hawthorntrack/platform/tests/conftest.py
+++ b/hawthorntrack/platform/tests/conftest.py
@@ -130,6 +130,7 @@
             lambda: self.time,
             first_token=50,
             lease_times=derive_lease_times(DeploymentTimes()),
+            awake_clock=lambda: self.time,
         )
         self.holder.post_later = lambda delay_s, message: None
         self.holder.handle(
--- a/hawthorntrack/state/clock.py
+++ b/hawthorntrack/state/clock.py
@@ -1,4 +1,4 @@
-"""A monotonic clock that includes the time in which the machine is suspended."""
+"""Monotonic clocks with and without the time in which the machine is suspended."""
 
 import time
 from collections.abc import Callable
@@ -16,3 +16,8 @@
     measured on this clock.
     """
     return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def seconds_awake() -> float:
+    """Return the seconds since boot, without suspended time."""
+    return time.clock_gettime(time.CLOCK_MONOTONIC)
