Start and confirm nothing for callers whose replies are cancelled

An entry instance that gets little processor time has a long mailbox. When a caller closes its connection, its handler is cancelled and with it the reply, at once; the message `CallerDisconnected` is queued behind all that arrived before. Until it was handled, the dispatcher admitted the caller's submission, started the tasks of its job, and confirmed the leases of its runs. The caller hands the job in again 1.3 s after it has left, anywhere, so that two runs of one task may be at work at the same time.

The reply itself now tells: a submission whose reply is done is not admitted, and jobs of which all replies are done are ended before tasks are placed and before a lease is confirmed. Their stop orders precede the confirmation on the same link, and a guard renews no target lease while a stop is unconfirmed. A job with several callers goes on as long as one of them waits. The scan costs one check for each open job at each placement and each confirmation, and nothing for other messages.

The new tests failed before, for example in `test_runs_of_callers_that_left_are_stopped_before_a_lease_confirmation`:

ValueError: not enough values to unpack (expected 2, got 1)

(the confirmation went out without a stop), and in `test_submission_whose_caller_left_in_the_mailbox_starts_nothing`:

assert [('guard-1:1', RunName(...)), ...] == []

They pass now, as do the tests of coordination, platform, transport and of the model site. The two tests of jobs with two callers passed before too.

--- a/hawthorntrack/coordination/dispatcher.py
+++ b/hawthorntrack/coordination/dispatcher.py
@@ -153,6 +153,9 @@
     def on_submit_plan(self, submission: SubmitPlan, sender: Incarnation) -> None:
         """Admit a job, or refuse it at once."""
         now = self.clock()
+        if submission.reply.done():
+            self.refuse(submission, Abandoned("caller_left"))
+            return
         if not self.directives.catalogue.version:
             if now < self.began_at + STARTUP_GRACE_S:
                 self.post_later(CONFIGURATION_RETRY_S, submission)
--- a/hawthorntrack/coordination/job_progress.py
+++ b/hawthorntrack/coordination/job_progress.py
@@ -162,6 +162,11 @@
         if not self.unfinished_counts[task.name.step]:
             self.unblock_ready_tasks()
 
+    @property
+    def callers_left(self) -> bool:
+        """Return whether no caller waits for the result any more."""
+        return all(reply.done() for reply in self.replies)
+
     @property
     def complete(self) -> bool:
         """Return whether all tasks are done."""
--- a/hawthorntrack/coordination/run_placement.py
+++ b/hawthorntrack/coordination/run_placement.py
@@ -110,8 +110,21 @@
             peer for peer in self.peers.values() if peer.accepts_runs(now, zones_out)
         ]
 
+    def end_jobs_of_departed_callers(self) -> None:
+        """Abandon the jobs for whose result no caller waits any more.
+
+        Explanation
+        -----------
+        A reply is cancelled as soon as the connection is found closed, while the
+        message about it waits in the mailbox. The caller may already have submitted the
+        job to another entry instance.
+        """
+        for job in [job for job in self.jobs.values() if job.callers_left]:
+            self.end_job(job, Abandoned("caller_left"))
+
     def place_waiting(self) -> None:
         """Place waiting tasks in the order that the current policy gives."""
+        self.end_jobs_of_departed_callers()
         queues: dict[str, list[Job]] = defaultdict(list)
         for job in self.jobs.values():
             if not job.process_suspended and job.waiting():
@@ -291,7 +304,14 @@
         self.placement_pending = True
 
     def confirm_leases(self, peer: GuardPeer) -> None:
-        """Confirm a guard's runs; state whether it must send capacity updates."""
+        """Confirm a guard's runs; state whether it must send capacity updates.
+
+        Explanation
+        -----------
+        A confirmation extends the lease of all runs of this instance at the guard, so
+        the unwanted ones are stopped first.
+        """
+        self.end_jobs_of_departed_callers()
         zones_out = tuple(sorted(self.directives.zones_out))
         confirmation = ConfirmLease(
             peer.guard_clock_ms,
--- a/hawthorntrack/coordination/tests/test_dispatcher.py
+++ b/hawthorntrack/coordination/tests/test_dispatcher.py
@@ -748,3 +748,68 @@
         entry.send_heartbeat(restarted, status="draining")
     asked = {run for _, check in entry.take_messages(CheckRuns) for run in check.runs}
     assert asked == set(runs)
+
+
+def test_submission_whose_caller_left_in_the_mailbox_starts_nothing(entry):
+    """The connection closed while the submission waited in a long mailbox."""
+    left = entry.loop.create_future()
+    left.cancel()
+    entry.submit(reply=left)
+    assert entry.take_starts() == []
+    assert entry.dispatcher.jobs == {}
+
+
+def test_waiting_job_whose_callers_left_is_not_started(entry):
+    """The message about the closed connection is still in the mailbox."""
+    entry.send_heartbeat(GUARD_1, free=Resources())
+    for reply in (entry.submit(), entry.submit()):
+        reply.cancel()
+    entry.send_heartbeat(GUARD_1)
+    assert entry.take_starts() == []
+
+
+def test_no_further_task_is_started_after_all_callers_left(entry):
+    steps = (StepSpec(1, NEED, 0.1), StepSpec(1, NEED, 0.1, depends_on=(0,)))
+    reply = entry.submit(steps=steps)
+    ((_, first),) = entry.take_starts()
+    reply.cancel()
+    entry.end_run(GUARD_1, first)
+    assert entry.take_starts() == []
+
+
+def test_runs_of_callers_that_left_are_stopped_before_a_lease_confirmation(placed_job):
+    """The message about the closed connection is behind a heartbeat in the mailbox."""
+    entry, reply, runs = placed_job
+    entry.sent.clear()
+    reply.cancel()
+    entry.time += 0.2
+    entry.send_heartbeat(GUARD_1)
+    stop, confirmation = (body for _, body in entry.sent)
+    assert set(stop.runs) == set(runs)
+    assert type(confirmation) is ConfirmLease
+
+
+@pytest.mark.parametrize("left", [0, 1])
+def test_job_runs_on_while_one_of_its_callers_waits(placed_job, left):
+    entry, first_reply, runs = placed_job
+    replies = [first_reply, entry.submit()]
+    replies[left].cancel()
+    entry.time += 0.2
+    entry.send_heartbeat(GUARD_1)
+    assert entry.take_messages(StopRuns) == []
+    entry.deliver(CallerDisconnected("a" * 16, replies[left]))
+    for run in runs:
+        entry.end_run(GUARD_1, run)
+    assert replies[1 - left].result() == Completed()
+
+
+def test_job_handed_in_again_before_the_first_disconnection_is_handled(placed_job):
+    """Both attempts of the caller are at this instance; the runs continue for it."""
+    entry, first_reply, runs = placed_job
+    first_reply.cancel()
+    second_reply = entry.submit()
+    entry.deliver(CallerDisconnected("a" * 16, first_reply))
+    assert entry.take_starts() == []
+    for run in runs:
+        entry.end_run(GUARD_1, run)
+    assert second_reply.result() == Completed()
