Learn from the kernel when a request arrived and whether its caller left

A process that resumes after a suspension reads requests that arrived seconds before, and the ends of their connections in a later pass of the event loop. Their deadlines counted from the reading, so that behind a connection that is half open, where nothing but the deadline ends a job, tasks ran on for the length of the suspension. A submission that waited for the first configuration got its full time again with each attempt.

The HTTP server now asks the kernel (TCP_INFO) for the state of the connection and for the time since data last arrived. A submission of a caller that has already closed or reset its connection is posted with its reply cancelled, so that the dispatcher does not admit it. This depends neither on the order in which the event loop runs its callbacks nor on how long the process stood still. `SubmitPlan` says when the request arrived; objective, deadline and time limit of the wait count from there, and a submission past its deadline is refused. Jobs past their deadline are ended before each placement and each confirmation of a lease, not only at the next tick. A full mailbox no longer fails on a cancelled reply.

Ruled out: to let the event loop run some passes before a request is handed on, which takes four to five of them for a new connection, delays every request, and counts callbacks of the HTTP library.

The new tests failed before:

test_submission_of_a_caller_that_closed_before_it_was_read_is_cancelled (closed or reset; new or reused connection): [False] == [True] test_deadline_counts_from_the_arrival_of_the_request: 9000 == 8900 test_wait_for_the_first_configuration_does_not_extend_the_deadline: 9000 == 8600 test_request_that_arrived_before_its_deadline_starts_nothing_after_it, test_waiting_job_is_not_started_after_its_deadline: two starts == [] test_caller_that_left_is_no_fault_of_a_full_mailbox: TimeoutError

They pass now, as do the tests of coordination, platform, transport and of the model site.

--- a/hawthorntrack/coordination/dispatcher.py
+++ b/hawthorntrack/coordination/dispatcher.py
@@ -178,7 +178,13 @@
         if verdict is not None:
             self.refuse(submission, verdict)
             return
-        job = Job(submission.plan, queue, submission.reply, now, submission.deadline_s)
+        job = Job(
+            submission.plan,
+            queue,
+            submission.reply,
+            submission.arrived_at,
+            submission.deadline_s,
+        )
         used_numbers = self.used_run_numbers.get(submission.plan.key)
         if used_numbers is not None:
             job.raise_run_numbers(used_numbers.highest)
@@ -204,6 +210,8 @@
         self, submission: SubmitPlan, queue: Queue, now: float
     ) -> Verdict | None:
         """Return the verdict that rejects a job, or None to admit it."""
+        if submission.arrived_at + submission.deadline_s <= now:
+            return Refused("deadline_passed", 1)
         if self.drain_began is not None and not self.can_finish_during_drain(
             submission, queue, now
         ):
@@ -343,6 +351,26 @@
         self.placement_pending = True
         self.report_drained()
 
+    def end_unawaited_jobs(self) -> None:
+        """End the jobs whose callers have left or have stopped waiting.
+
+        Explanation
+        -----------
+        A caller may submit such a job to another entry instance. A reply is cancelled
+        as soon as its connection is found closed, while the message about that waits in
+        the mailbox. A caller behind a connection that is half open is known only to
+        wait no longer than its deadline.
+        """
+        now = self.clock()
+        for job in list(self.jobs.values()):
+            if job.callers_left:
+                self.end_job(job, Abandoned("caller_left"))
+            elif job.deadline_at <= now:
+                verdict = (
+                    Abandoned("deadline") if job.begun else self.overload_refusal(job)
+                )
+                self.end_job(job, verdict)
+
     def answer_log_fields(self, job: Job, now: float) -> dict[str, object]:
         """Return log fields that explain why a job did not complete.
 
@@ -384,13 +412,9 @@
     def on_tick(self, tick: Tick, sender: Incarnation) -> None:
         """End expired jobs, and reschedule the runs of silent guards."""
         now = self.clock()
+        self.end_unawaited_jobs()
         for job in list(self.jobs.values()):
-            if job.deadline_at <= now:
-                verdict = (
-                    Abandoned("deadline") if job.begun else self.overload_refusal(job)
-                )
-                self.end_job(job, verdict)
-            elif not job.begun and job.placement_deadline_at <= now:
+            if not job.begun and job.placement_deadline_at <= now:
                 self.end_job(job, self.overload_refusal(job))
             elif job.process_suspended and job.waiting():
                 self.end_job(job, Abandoned("stood_still"))
--- a/hawthorntrack/coordination/job_progress.py
+++ b/hawthorntrack/coordination/job_progress.py
@@ -88,6 +88,8 @@
     ----------
     replies : list of Future
         One for each submission that waits for the result.
+    arrived : float
+        Time at which its first submission arrived at the machine, in seconds.
     critical_path_s : float
         Declared run time along its longest chain of steps, in seconds.
     placement_deadline_at : float
@@ -108,19 +110,19 @@
         plan: JobPlan,
         queue: Queue,
         reply: asyncio.Future,
-        now: float,
+        arrived: float,
         deadline_s: float,
     ) -> None:
         self.plan = plan
         self.queue = queue
         self.replies = [reply]
-        self.arrived = now
+        self.arrived = arrived
         self.critical_path_s = critical_path_length_s(plan.steps)
         self.objective = objective_s(
             self.critical_path_s, queue.stretch, queue.latency_target_s
         )
-        self.placement_deadline_at = now + max_wait_s(self.objective)
-        self.deadline_at = now + deadline_s
+        self.placement_deadline_at = arrived + max_wait_s(self.objective)
+        self.deadline_at = arrived + deadline_s
         self.begun = False
         self.process_suspended = False
         self.tasks = {
--- a/hawthorntrack/coordination/run_placement.py
+++ b/hawthorntrack/coordination/run_placement.py
@@ -99,6 +99,10 @@
         """Answer a job and stop its remaining runs."""
         raise NotImplementedError
 
+    def end_unawaited_jobs(self) -> None:
+        """End the jobs whose callers have left or have stopped waiting."""
+        raise NotImplementedError
+
     def report_ready(self) -> None:
         """Report whether this instance can accept jobs."""
         raise NotImplementedError
@@ -110,21 +114,9 @@
             peer for peer in self.peers.values() if peer.accepts_runs(now, zones_out)
         ]
 
-    def end_jobs_of_departed_callers(self) -> None:
-        """Abandon the jobs for whose result no caller waits any more.
-
-        Explanation
-        -----------
-        A reply is cancelled as soon as the connection is found closed, while the
-        message about it waits in the mailbox. The caller may already have submitted the
-        job to another entry instance.
-        """
-        for job in [job for job in self.jobs.values() if job.callers_left]:
-            self.end_job(job, Abandoned("caller_left"))
-
     def place_waiting(self) -> None:
         """Place waiting tasks in the order that the current policy gives."""
-        self.end_jobs_of_departed_callers()
+        self.end_unawaited_jobs()
         queues: dict[str, list[Job]] = defaultdict(list)
         for job in self.jobs.values():
             if not job.process_suspended and job.waiting():
@@ -311,7 +303,7 @@
         A confirmation extends the lease of all runs of this instance at the guard, so
         the unwanted ones are stopped first.
         """
-        self.end_jobs_of_departed_callers()
+        self.end_unawaited_jobs()
         zones_out = tuple(sorted(self.directives.zones_out))
         confirmation = ConfirmLease(
             peer.guard_clock_ms,
--- a/hawthorntrack/coordination/tests/test_dispatcher.py
+++ b/hawthorntrack/coordination/tests/test_dispatcher.py
@@ -141,7 +141,7 @@
         plan = JobPlan(key, "spec", steps or (StepSpec(2, NEED, 0.4),))
         reply = self.loop.create_future()
         submission = SubmitPlan(
-            "calls.example", f"/{queue}/{key}", plan, "", 9.0, reply
+            "calls.example", f"/{queue}/{key}", plan, "", self.time, 9.0, reply
         )
         self.deliver(submission._replace(**changes))
         return reply
@@ -813,3 +813,45 @@
     for run in runs:
         entry.end_run(GUARD_1, run)
     assert second_reply.result() == Completed()
+
+
+def test_deadline_counts_from_the_arrival_of_the_request(entry):
+    """The request lay in the buffers of a process without processor time."""
+    entry.submit(arrived_at=entry.time - 0.1, steps=(StepSpec(2, NEED, 4.0),))
+    ((_, order),) = entry.take_messages(StartRuns)
+    assert order.remaining_ms == 8_900
+
+
+def test_request_that_arrived_before_its_deadline_starts_nothing_after_it(entry):
+    reply = entry.submit(arrived_at=entry.time - 9.1)
+    assert entry.take_starts() == []
+    assert isinstance(reply.result(), Refused)
+
+
+def test_waiting_job_is_not_started_after_its_deadline(entry):
+    """A heartbeat with free capacity is handled before the tick that ends the job."""
+    entry.send_heartbeat(GUARD_1, free=Resources())
+    entry.submit(deadline_s=0.3, steps=(StepSpec(2, NEED, 4.0),))
+    entry.time += 0.4
+    entry.send_heartbeat(GUARD_1)
+    assert entry.take_starts() == []
+
+
+def test_runs_past_their_deadline_are_stopped_before_a_lease_confirmation(entry):
+    """The caller is behind a half-open connection and has stopped waiting."""
+    entry.submit(deadline_s=0.3, steps=(StepSpec(2, NEED, 4.0),))
+    entry.sent.clear()
+    entry.time += 0.4
+    entry.send_heartbeat(GUARD_1)
+    assert [type(body) for _, body in entry.sent] == [StopRuns, ConfirmLease]
+
+
+def test_wait_for_the_first_configuration_does_not_extend_the_deadline(loop):
+    entry = DispatcherHarness(loop)
+    entry.submit(steps=(StepSpec(2, NEED, 4.0),))
+    entry.time += 0.4
+    entry.set_directives()
+    entry.connect_guard(GUARD_1)
+    entry.deliver(entry.delayed.pop())
+    ((_, order),) = entry.take_messages(StartRuns)
+    assert order.remaining_ms == 8_600
--- a/hawthorntrack/experiment/model_site.py
+++ b/hawthorntrack/experiment/model_site.py
@@ -511,7 +511,13 @@
         remaining_s = until - self.clock()
         reply = asyncio.get_running_loop().create_future()
         order = SubmitPlan(
-            "calls.example", f"/{kind.queue}/{plan.key}", plan, "", remaining_s, reply
+            "calls.example",
+            f"/{kind.queue}/{plan.key}",
+            plan,
+            "",
+            self.clock(),
+            remaining_s,
+            reply,
         )
         entry.receive(Incarnation("caller:1", ""), order)
         while not reply.done() and self.clock() < until:
--- a/hawthorntrack/platform/entry_http.py
+++ b/hawthorntrack/platform/entry_http.py
@@ -14,9 +14,11 @@
     GetPlanState,
     SubmitPlan,
 )
+from hawthorntrack.state.clock import Clock, seconds_since_boot
 from hawthorntrack.state.mailbox import Mailbox
 from hawthorntrack.state.metrics import BAD_INPUT, labelled
 from hawthorntrack.state.naming import exposed_name
+from hawthorntrack.state.outcomes import resolve
 from hawthorntrack.state.registry import Registry
 from hawthorntrack.state.verdicts import (
     Abandoned,
@@ -28,6 +30,7 @@
     Refused,
     UnknownJob,
 )
+from hawthorntrack.transport.http_server import connection_state
 
 DEADLINE_HEADER = "Hawthorntrack-Deadline-Ms"
 DEFAULT_DEADLINE_S = 30.0
@@ -132,10 +135,13 @@
     ----------
     dispatcher : Mailbox
         The dispatcher's mailbox.
+    clock : callable
+        Returns seconds, including time for which the machine was suspended.
     """
 
-    def __init__(self, dispatcher: Mailbox) -> None:
+    def __init__(self, dispatcher: Mailbox, clock: Clock = seconds_since_boot) -> None:
         self.dispatcher = dispatcher
+        self.clock = clock
         self.close_connections = False
         self.max_body_bytes = 262_144
 
@@ -146,7 +152,7 @@
         if isinstance(message, web.Response):
             return message
         if not self.dispatcher.post(message):
-            reply.set_result(Refused("mailbox_full", 1))
+            resolve(reply, Refused("mailbox_full", 1))
         try:
             verdict = await reply
         except asyncio.CancelledError:
@@ -182,7 +188,14 @@
         key: str,
         reply: asyncio.Future,
     ) -> Any:
-        """Return a `SubmitPlan`, or a response if the body cannot be received."""
+        """Return a `SubmitPlan`, or a response if the body cannot be received.
+
+        Explanation
+        -----------
+        The reply is cancelled if the caller has already closed its connection, so that
+        the dispatcher does not start the job.
+        """
+        arrived_at = self.clock() - connection_state(request).silence_s
         if (request.content_length or 0) > self.max_body_bytes:
             labelled(BAD_INPUT, "callers", "body_size").inc()
             return json_response({"error": "body_too_large"}, 413)
@@ -201,7 +214,11 @@
             except Malformed as error:
                 labelled(BAD_INPUT, "callers", "body").inc()
                 problem = str(error)
-        return SubmitPlan(host, path, plan, problem, request_deadline_s(request), reply)
+        if not connection_state(request).is_open:
+            reply.cancel()
+        return SubmitPlan(
+            host, path, plan, problem, arrived_at, request_deadline_s(request), reply
+        )
 
 
 class ReadinessHandler:
--- a/hawthorntrack/platform/tests/test_calls.py
+++ b/hawthorntrack/platform/tests/test_calls.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import json
+import socket
+import struct
+import time
 
 import aiohttp
 import pytest
@@ -19,6 +22,7 @@
     TargetDeparted,
     TargetHeartbeat,
 )
+from hawthorntrack.state.clock import seconds_since_boot
 from hawthorntrack.state.mailbox import Mailbox
 from hawthorntrack.state.plans import RunName, TargetIncarnation, TargetState, TaskName
 from hawthorntrack.state.store import Changes, HistoryGone, StoreUnavailable
@@ -33,6 +37,13 @@
 
 KEY = "5c0e7a21d94b36f8"
 TIMEOUT_S = 5.0  # long, so that a slow machine does not change an outcome
+JOB_BODY = json.dumps({"best_effort": True, "steps": [{"count": 1}]}).encode()
+POST_REQUEST = (
+    b"POST /q/%s HTTP/1.1\r\nHost: calls.example\r\nContent-Length: %d\r\n\r\n%s"
+    % (KEY.encode(), len(JOB_BODY), JOB_BODY)
+)
+# Closing a socket that lingers for 0 s resets the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class StandIn:
@@ -280,3 +291,79 @@
     first, second = with_server(CallersHandler(dispatcher).answer, scenario)
     assert isinstance(first, SubmitPlan)
     assert second == CallerDisconnected(KEY, first.reply)
+
+
+class DispatcherMailbox(Mailbox):
+    """Records of each submission whether its reply was already cancelled."""
+
+    def __init__(self):
+        super().__init__("dispatcher")
+        self.cancelled = []
+
+    def post(self, message):
+        if isinstance(message, SubmitPlan):
+            self.cancelled.append(message.reply.cancelled())
+        return super().post(message)
+
+
+def connect(address):
+    """Return a connected socket; its calls block, so the server's loop stands still."""
+    host, _, port = address.rpartition(":")
+    return socket.create_connection((host, int(port)))
+
+
+@pytest.mark.parametrize("reset", [False, True], ids=["closed", "reset"])
+@pytest.mark.parametrize("reused", [False, True], ids=["new", "reused"])
+def test_submission_of_a_caller_that_closed_before_it_was_read_is_cancelled(
+    with_server, reset, reused
+):
+    """A process that resumes reads requests whose callers left seconds before."""
+    dispatcher = DispatcherMailbox()
+
+    async def scenario(address):
+        loop = asyncio.get_running_loop()
+        caller = connect(address)
+        if reused:
+            caller.sendall(POST_REQUEST)
+            (await dispatcher.get()).reply.set_result(Completed())
+            await loop.run_in_executor(None, caller.recv, 65_536)
+        if reset:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        caller.sendall(POST_REQUEST)
+        caller.close()
+        async with asyncio.timeout(TIMEOUT_S):
+            submission = await dispatcher.get()
+            disconnect = await dispatcher.get()
+        assert disconnect == CallerDisconnected(KEY, submission.reply)
+
+    with_server(CallersHandler(dispatcher).answer, scenario)
+    assert dispatcher.cancelled == [False] * reused + [True]
+
+
+def test_caller_that_left_is_no_fault_of_a_full_mailbox(with_server):
+    """The refusal must not be set as the result of a cancelled reply."""
+    dispatcher = Mailbox("dispatcher", 0)
+
+    async def scenario(address):
+        with connect(address) as caller:
+            caller.sendall(POST_REQUEST)
+        async with asyncio.timeout(TIMEOUT_S):
+            return await dispatcher.get()
+
+    last = with_server(CallersHandler(dispatcher).answer, scenario)
+    assert isinstance(last, CallerDisconnected)
+
+
+def test_time_of_arrival_includes_the_wait_in_the_kernels_buffer(with_server):
+    """A request that arrived during a suspension has less time left afterwards."""
+    dispatcher = Mailbox("dispatcher")
+
+    async def scenario(address):
+        with connect(address) as caller:
+            caller.sendall(POST_REQUEST)
+            sent_at = seconds_since_boot()
+            time.sleep(0.5)  # the server's loop stands still
+            return sent_at, (await dispatcher.get()).arrived_at
+
+    sent_at, arrived_at = with_server(CallersHandler(dispatcher).answer, scenario)
+    assert arrived_at == pytest.approx(sent_at, abs=0.2)
--- a/hawthorntrack/protocol/job_requests.py
+++ b/hawthorntrack/protocol/job_requests.py
@@ -14,16 +14,20 @@
     ----------
     plan : JobPlan or None
         None if the body is not a valid job; `problem` then gives the reason.
+    arrived_at : float
+        Time in seconds at which the request arrived at the machine, on the clock that
+        includes suspended time.
     deadline_s : float
         How long the caller waits, in seconds from the request's arrival.
     reply : Future
-        Receives the verdict.
+        Receives the verdict; cancelled once the caller has closed its connection.
     """
 
     host: str
     path: str
     plan: JobPlan | None
     problem: str
+    arrived_at: float
     deadline_s: float
     reply: asyncio.Future
 
--- a/hawthorntrack/transport/http_server.py
+++ b/hawthorntrack/transport/http_server.py
@@ -1,7 +1,9 @@
 """HTTP server with a single request handler, and the metrics handler."""
 
+import socket
+import struct
 from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import Any, NamedTuple
 
 from aiohttp import web
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
@@ -10,9 +12,51 @@
 BACKLOG = 512
 SHUTDOWN_TIMEOUT_S = 0.5
 
+# The first fields of `struct tcp_info`: eight of one byte, the first of which is the
+# state, and twelve of four bytes, the last of which is the time since data arrived.
+TCP_INFO_FIELDS = struct.Struct("=8B12I")
+TCP_ESTABLISHED = 1
+
 Handler = Callable[[web.BaseRequest], Coroutine[Any, Any, web.StreamResponse]]
 
 
+class ConnectionState(NamedTuple):
+    """The kernel's view of a request's connection.
+
+    Attributes
+    ----------
+    is_open : bool
+        Whether the client has neither closed nor reset the connection.
+    silence_s : float
+        Time since data last arrived from the client, in seconds.
+    """
+
+    is_open: bool
+    silence_s: float
+
+
+def connection_state(request: web.BaseRequest) -> ConnectionState:
+    """Return the state of a request's connection.
+
+    Explanation
+    -----------
+    The event loop reads the end of a connection some iterations after the request that
+    precedes it, and reads both late if the process was suspended. The kernel knows the
+    end as soon as it arrives.
+    """
+    if request.transport is None:
+        return ConnectionState(False, 0.0)
+    sock = request.transport.get_extra_info("socket")
+    try:
+        info = sock.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_FIELDS.size
+        )
+    except OSError:
+        return ConnectionState(False, 0.0)
+    state, *_, silence_ms = TCP_INFO_FIELDS.unpack(info)
+    return ConnectionState(state == TCP_ESTABLISHED, silence_ms / 1000)
+
+
 class HttpServer:
     """HTTP server on one address; owns the listening socket.
 
