Wait for the ends of connections after a pause before confirming leases

An instance that was suspended for less than 0.5 s, or held up by one long pass of its event loop, handled guards' heartbeats before the ends of its callers' connections, both of which had waited in the kernel's buffers. It confirmed the leases of runs whose caller had left up to 0.5 s before, and placed further tasks. With stops lost as well, these runs outlast the 1.3 s after which the caller hands the job in again: an order may keep runs for 1.1 s after the heartbeat that it answers.

Without a tick for 0.1 s, the dispatcher now defers placement and the confirmation of leases, and nothing else, for two passes of the event loop, by timers that are due at once. A pass reads all sockets before it runs the timers that are due, so the first timer follows the reading of each connection that ended before; the reply is cancelled one pass later, which the second timer follows. Then the jobs of departed callers are ended, and the newest heartbeat of each guard is confirmed, where the oldest was before. Nothing is deferred, and no timer set, while ticks come every 20 ms.

Ruled out: to wait again if another pause falls into these two passes. A process whose passes all take over 0.1 s would never confirm a lease.

--- a/hawthorntrack/coordination/dispatcher.py
+++ b/hawthorntrack/coordination/dispatcher.py
@@ -57,6 +57,13 @@
 # A process that handles no message for this long, which is ten ticks, was suspended or
 # got no processor time.
 SUSPENSION_THRESHOLD_S = 0.5
+# Without a tick for this long, which is five intervals, connections that have closed
+# meanwhile may not have been read. A lease may be confirmed for a caller that left this
+# long ago, since its runs end 0.2 s before it retries (`leases.runs_gone_by`).
+MAX_READ_INTERVAL_S = 0.1
+# The event loop reads the end of a connection in one pass, and cancels the reply in the
+# next.
+PASSES_TO_NOTICE_DISCONNECTION = 2
 # Guards and targets announce themselves within two intervals of target heartbeats.
 STARTUP_GRACE_S = 3.0
 CONFIGURATION_RETRY_S = 0.02
@@ -77,6 +84,18 @@
     highest: int
 
 
+class LoopPassed(NamedTuple):
+    """Message of the dispatcher to itself: the event loop has read the sockets.
+
+    Attributes
+    ----------
+    passes_left : int
+        Number of further passes of the event loop to wait for.
+    """
+
+    passes_left: int
+
+
 class Dispatcher(RunPlacement):
     """Actor that owns the open jobs of one entry instance.
 
@@ -121,6 +140,7 @@
         self.used_run_numbers: dict[str, UsedRunNumbers] = {}
         self.began_at = clock()
         self.handled_at = 0.0
+        self.sockets_read_at = 0.0
         self.drain_s = drain_s
         self.drain_began: float | None = None
         self.drain_complete = False
@@ -131,11 +151,42 @@
         if self.handled_at and now - self.handled_at > SUSPENSION_THRESHOLD_S:
             self.notice_suspension(now - self.handled_at)
         self.handled_at = now
+        if self.sockets_read_at and now - self.sockets_read_at > MAX_READ_INTERVAL_S:
+            self.wait_for_disconnections()
         super().handle(message)
-        if self.placement_pending and self.mailbox.queue.empty():
+        if (
+            self.placement_pending
+            and not self.disconnections_unread
+            and self.mailbox.queue.empty()
+        ):
             self.placement_pending = False
             self.place_waiting()
 
+    def wait_for_disconnections(self) -> None:
+        """Defer placement and lease confirmations until the sockets have been read.
+
+        Explanation
+        -----------
+        After a suspension, messages that were read from guards may be handled before
+        the ends of the callers' connections. The event loop reads all sockets in each
+        pass before it runs the timers that are due.
+        """
+        if not self.disconnections_unread:
+            self.disconnections_unread = True
+            self.post_later(0, LoopPassed(PASSES_TO_NOTICE_DISCONNECTION - 1))
+
+    @handles(LoopPassed)
+    def on_loop_passed(self, message: LoopPassed, sender: Incarnation) -> None:
+        """Confirm leases and place tasks once all disconnections are noticed."""
+        if message.passes_left:
+            self.post_later(0, LoopPassed(message.passes_left - 1))
+            return
+        self.disconnections_unread = False
+        self.sockets_read_at = self.clock()
+        for peer in self.peers.values():
+            self.confirm_leases_if_due(peer)
+        self.placement_pending = True
+
     def notice_suspension(self, lasted_s: float) -> None:
         """Start no further tasks of the open jobs after a suspension of the process.
 
@@ -411,7 +462,7 @@
     @handles(Tick)
     def on_tick(self, tick: Tick, sender: Incarnation) -> None:
         """End expired jobs, and reschedule the runs of silent guards."""
-        now = self.clock()
+        now = self.sockets_read_at = self.clock()
         self.end_unawaited_jobs()
         for job in list(self.jobs.values()):
             if not job.begun and job.placement_deadline_at <= now:
--- a/hawthorntrack/coordination/run_placement.py
+++ b/hawthorntrack/coordination/run_placement.py
@@ -94,6 +94,7 @@
         self.needs_capacity_updates = False
         self.capacity_updates_until = 0.0
         self.placement_pending = False
+        self.disconnections_unread = False
 
     def end_job(self, job: Job, verdict: Verdict) -> None:
         """Answer a job and stop its remaining runs."""
@@ -285,16 +286,21 @@
             return
         peer.heartbeat_at, peer.guard_clock_ms = peer.heard_at, heartbeat.guard_clock_ms
         peer.update_capacity(heartbeat.target_status)
-        directives_confirmed = peer.lease_confirmed_stamp == self.directives.stamp
-        if (
-            not directives_confirmed
-            or peer.heard_at - peer.lease_confirmed_at >= MIN_LEASE_CONFIRM_INTERVAL_S
-        ):
-            self.confirm_leases(peer)
+        if not self.disconnections_unread:
+            self.confirm_leases_if_due(peer)
         self.check_runs_of_earlier_incarnation(peer)
         self.report_ready()
         self.placement_pending = True
 
+    def confirm_leases_if_due(self, peer: GuardPeer) -> None:
+        """Confirm a guard's runs if its newest heartbeat calls for it."""
+        if not peer.linked or not peer.guard_clock_ms:
+            return
+        directives_confirmed = peer.lease_confirmed_stamp == self.directives.stamp
+        unconfirmed_s = peer.heartbeat_at - peer.lease_confirmed_at
+        if not directives_confirmed or unconfirmed_s >= MIN_LEASE_CONFIRM_INTERVAL_S:
+            self.confirm_leases(peer)
+
     def confirm_leases(self, peer: GuardPeer) -> None:
         """Confirm a guard's runs; state whether it must send capacity updates.
 
--- a/hawthorntrack/coordination/tests/test_dispatcher.py
+++ b/hawthorntrack/coordination/tests/test_dispatcher.py
@@ -68,7 +68,11 @@
 
 
 class DispatcherHarness:
-    """A dispatcher with a manual clock, which records what it sends."""
+    """A dispatcher with a manual clock, which records what it sends.
+
+    Messages that it posts to itself for the next pass of the event loop are delivered
+    after the current one, or by `run_passes` while `hold_passes` is set.
+    """
 
     def __init__(self, loop) -> None:
         self.time = 1_000.0
@@ -79,6 +83,8 @@
         self.ready = None
         self.sequence = 0
         self.delayed = []
+        self.next_pass = []
+        self.hold_passes = False
         self.dispatcher = Dispatcher(
             "recife",
             1.5,
@@ -89,13 +95,22 @@
             lambda: self.time,
             DRAIN_S,
         )
-        self.dispatcher.post_later = lambda delay_s, body: self.delayed.append(body)
+        self.dispatcher.post_later = self.post_later
+
+    def post_later(self, delay_s, body):
+        (self.delayed if delay_s else self.next_pass).append(body)
 
     def record_ready(self, ready, reason):
         self.ready = ready
 
     def deliver(self, body, sender=CALLER):
         self.dispatcher.handle(Delivery(sender, body))
+        if not self.hold_passes:
+            self.run_passes()
+
+    def run_passes(self):
+        while self.next_pass:
+            self.dispatcher.handle(self.next_pass.pop(0))
 
     def set_directives(self, stamp=1, version=7, zones_out=()):
         catalogue = Catalogue(version, QUEUES)
@@ -855,3 +870,68 @@
     entry.deliver(entry.delayed.pop())
     ((_, order),) = entry.take_messages(StartRuns)
     assert order.remaining_ms == 8_600
+
+
+@pytest.fixture
+def paused_entry(placed_job):
+    """Return an entry instance whose process was just suspended for 0.3 s.
+
+    The event loop has not read the sockets since.
+    """
+    entry, reply, runs = placed_job
+    entry.advance(0.02)
+    entry.send_heartbeat(GUARD_1)
+    entry.sent.clear()
+    entry.hold_passes = True
+    entry.time += 0.3
+    return entry, reply, runs
+
+
+@pytest.mark.parametrize("earlier", [[], [Tick()]], ids=["no_message", "tick"])
+def test_no_lease_is_confirmed_after_a_pause_before_the_sockets_are_read(
+    paused_entry, earlier
+):
+    """The end of the caller's connection is read after the guard's heartbeat."""
+    entry, reply, runs = paused_entry
+    for message in earlier:
+        entry.deliver(message)
+    entry.send_heartbeat(GUARD_1)
+    entry.deliver(Tick())
+    assert entry.sent == []
+    reply.cancel()
+    entry.run_passes()
+    stop, confirmation = (body for _, body in entry.sent)
+    assert set(stop.runs) == set(runs)
+    assert confirmation.guard_clock_ms == round(entry.time * 1000)
+
+
+def test_no_task_is_started_after_a_pause_before_the_sockets_are_read(paused_entry):
+    entry, _, _ = paused_entry
+    left, waits = entry.submit(key="b" * 16), entry.submit(key="c" * 16)
+    assert entry.take_starts() == []
+    left.cancel()
+    entry.run_passes()
+    assert {run.task.job for _, run in entry.take_starts()} == {"c" * 16}
+    assert not waits.done()
+
+
+def test_guard_of_a_broken_link_gets_no_late_lease_confirmation(paused_entry):
+    entry, _, _ = paused_entry
+    entry.send_heartbeat(GUARD_1)
+    entry.deliver(LinkDown(GUARD_1.address))
+    entry.run_passes()
+    assert entry.take_messages(ConfirmLease) == []
+
+
+def test_leases_are_confirmed_at_once_while_the_process_runs(placed_job):
+    """Load pattern: a usual day; nothing waits for another pass of the event loop."""
+    entry, _, _ = placed_job
+    entry.hold_passes = True
+    for _ in range(5):
+        entry.take_messages(ConfirmLease)
+        entry.advance(0.2)
+        entry.send_heartbeat(GUARD_1)
+        assert len(entry.take_messages(ConfirmLease)) == 1
+    entry.submit(key="b" * 16)
+    assert len(entry.take_starts()) == 2
+    assert entry.next_pass == []
