--- a/hawthorntrack/coordination/dispatcher.py
+++ b/hawthorntrack/coordination/dispatcher.py
@@ -58,6 +58,13 @@
 # A process that handles no message for this long, which is ten ticks, was suspended or
 # got no processor time.
 SUSPENSION_THRESHOLD_S = 0.5
+# Without a tick for this long, which is five intervals, connections that have closed
+# meanwhile may not have been read. A lease may be confirmed for a caller that left this
+# long ago, since its runs end 0.2 s before it retries (`leases.runs_gone_by`).
+MAX_READ_INTERVAL_S = 0.1
+# The event loop reads the end of a connection in one pass, and cancels the reply in the
+# next.
+PASSES_TO_NOTICE_DISCONNECTION = 2
 # Guards and targets announce themselves within two intervals of target heartbeats.
 STARTUP_GRACE_S = 3.0
 CONFIGURATION_RETRY_S = 0.02
@@ -78,6 +85,18 @@
     highest: int
 
 
+class LoopPassed(NamedTuple):
+    """Message of the dispatcher to itself: the event loop has read the sockets.
+
+    Attributes
+    ----------
+    passes_left : int
+        Number of further passes of the event loop to wait for.
+    """
+
+    passes_left: int
+
+
 class Dispatcher(RunPlacement):
     """Actor that owns the open jobs of one entry instance.
 
@@ -125,6 +144,7 @@
         self.used_run_numbers: dict[str, UsedRunNumbers] = {}
         self.began_at = clock()
         self.handled_at = 0.0
+        self.sockets_read_at = 0.0
         self.drain_s = drain_s
         self.drain_began: float | None = None
         self.drain_complete = False
@@ -135,11 +155,42 @@
         if self.handled_at and now - self.handled_at > SUSPENSION_THRESHOLD_S:
             self.notice_suspension(now - self.handled_at)
         self.handled_at = now
+        if self.sockets_read_at and now - self.sockets_read_at > MAX_READ_INTERVAL_S:
+            self.wait_for_disconnections()
         super().handle(message)
-        if self.placement_pending and self.mailbox.queue.empty():
+        if (
+            self.placement_pending
+            and not self.disconnections_unread
+            and self.mailbox.queue.empty()
+        ):
             self.placement_pending = False
             self.place_waiting()
 
+    def wait_for_disconnections(self) -> None:
+        """Defer placement and lease confirmations until the sockets have been read.
+
+        Explanation
+        -----------
+        After a suspension, messages that were read from guards may be handled before
+        the ends of the callers' connections. The event loop reads all sockets in each
+        pass before it runs the timers that are due.
+        """
+        if not self.disconnections_unread:
+            self.disconnections_unread = True
+            self.post_later(0, LoopPassed(PASSES_TO_NOTICE_DISCONNECTION - 1))
+
+    @handles(LoopPassed)
+    def on_loop_passed(self, message: LoopPassed, sender: Incarnation) -> None:
+        """Confirm leases and place tasks once all disconnections are noticed."""
+        if message.passes_left:
+            self.post_later(0, LoopPassed(message.passes_left - 1))
+            return
+        self.disconnections_unread = False
+        self.sockets_read_at = self.clock()
+        for peer in self.peers.values():
+            self.confirm_leases_if_due(peer)
+        self.placement_pending = True
+
     def notice_suspension(self, lasted_s: float) -> None:
         """Start no further tasks of the open jobs after a suspension of the process.
 
@@ -157,6 +208,9 @@
     def on_submit_plan(self, submission: SubmitPlan, sender: Incarnation) -> None:
         """Admit a job, or refuse it at once."""
         now = self.clock()
+        if submission.reply.done():
+            self.refuse(submission, Abandoned("caller_left"))
+            return
         if not self.directives.catalogue.version:
             if now < self.began_at + STARTUP_GRACE_S:
                 self.post_later(CONFIGURATION_RETRY_S, submission)
@@ -179,7 +233,13 @@
         if verdict is not None:
             self.refuse(submission, verdict)
             return
-        job = Job(submission.plan, queue, submission.reply, now, submission.deadline_s)
+        job = Job(
+            submission.plan,
+            queue,
+            submission.reply,
+            submission.arrived_at,
+            submission.deadline_s,
+        )
         used_numbers = self.used_run_numbers.get(submission.plan.key)
         if used_numbers is not None:
             job.raise_run_numbers(used_numbers.highest)
@@ -205,6 +265,8 @@
         self, submission: SubmitPlan, queue: Queue, now: float
     ) -> Verdict | None:
         """Return the verdict that rejects a job, or None to admit it."""
+        if submission.arrived_at + submission.deadline_s <= now:
+            return Refused("deadline_passed", 1)
         if self.drain_began is not None and not self.can_finish_during_drain(
             submission, queue, now
         ):
@@ -344,6 +406,26 @@
         self.placement_pending = True
         self.report_drained()
 
+    def end_unawaited_jobs(self) -> None:
+        """End the jobs whose callers have left or have stopped waiting.
+
+        Explanation
+        -----------
+        A caller may submit such a job to another entry instance. A reply is cancelled
+        as soon as its connection is found closed, while the message about that waits in
+        the mailbox. A caller behind a connection that is half open is known only to
+        wait no longer than its deadline.
+        """
+        now = self.clock()
+        for job in list(self.jobs.values()):
+            if job.callers_left:
+                self.end_job(job, Abandoned("caller_left"))
+            elif job.deadline_at <= now:
+                verdict = (
+                    Abandoned("deadline") if job.begun else self.overload_refusal(job)
+                )
+                self.end_job(job, verdict)
+
     def answer_log_fields(self, job: Job, now: float) -> dict[str, object]:
         """Return log fields that explain why a job did not complete.
 
@@ -384,14 +466,10 @@
     @handles(Tick)
     def on_tick(self, tick: Tick, sender: Incarnation) -> None:
         """End expired jobs, and reschedule the runs of silent guards."""
-        now = self.clock()
+        now = self.sockets_read_at = self.clock()
+        self.end_unawaited_jobs()
         for job in list(self.jobs.values()):
-            if job.deadline_at <= now:
-                verdict = (
-                    Abandoned("deadline") if job.begun else self.overload_refusal(job)
-                )
-                self.end_job(job, verdict)
-            elif not job.begun and job.placement_deadline_at <= now:
+            if not job.begun and job.placement_deadline_at <= now:
                 self.end_job(job, self.overload_refusal(job))
             elif job.process_suspended and job.waiting():
                 self.end_job(job, Abandoned("stood_still"))
--- a/hawthorntrack/coordination/run_placement.py
+++ b/hawthorntrack/coordination/run_placement.py
@@ -99,11 +99,16 @@
         self.needs_capacity_updates = False
         self.capacity_updates_until = 0.0
         self.placement_pending = False
+        self.disconnections_unread = False
 
     def end_job(self, job: Job, verdict: Verdict) -> None:
         """Answer a job and stop its remaining runs."""
         raise NotImplementedError
 
+    def end_unawaited_jobs(self) -> None:
+        """End the jobs whose callers have left or have stopped waiting."""
+        raise NotImplementedError
+
     def report_ready(self) -> None:
         """Report whether this instance can accept jobs."""
         raise NotImplementedError
@@ -117,6 +122,7 @@
 
     def place_waiting(self) -> None:
         """Place waiting tasks in the order that the current policy gives."""
+        self.end_unawaited_jobs()
         queues: dict[str, list[Job]] = defaultdict(list)
         for job in self.jobs.values():
             if not job.process_suspended and job.waiting():
@@ -287,18 +293,30 @@
             return
         peer.heartbeat_at, peer.guard_clock_ms = peer.heard_at, heartbeat.guard_clock_ms
         peer.update_capacity(heartbeat.target_status)
-        directives_confirmed = peer.lease_confirmed_stamp == self.directives.stamp
-        if (
-            not directives_confirmed
-            or peer.heard_at - peer.lease_confirmed_at >= MIN_LEASE_CONFIRM_INTERVAL_S
-        ):
-            self.confirm_leases(peer)
+        if not self.disconnections_unread:
+            self.confirm_leases_if_due(peer)
         self.check_runs_of_earlier_incarnation(peer)
         self.report_ready()
         self.placement_pending = True
 
+    def confirm_leases_if_due(self, peer: GuardPeer) -> None:
+        """Confirm a guard's runs if its newest heartbeat calls for it."""
+        if not peer.linked or not peer.guard_clock_ms:
+            return
+        directives_confirmed = peer.lease_confirmed_stamp == self.directives.stamp
+        unconfirmed_s = peer.heartbeat_at - peer.lease_confirmed_at
+        if not directives_confirmed or unconfirmed_s >= MIN_LEASE_CONFIRM_INTERVAL_S:
+            self.confirm_leases(peer)
+
     def confirm_leases(self, peer: GuardPeer) -> None:
-        """Confirm a guard's runs; state whether it must send capacity updates."""
+        """Confirm a guard's runs; state whether it must send capacity updates.
+
+        Explanation
+        -----------
+        A confirmation extends the lease of all runs of this instance at the guard, so
+        the unwanted ones are stopped first.
+        """
+        self.end_unawaited_jobs()
         zones_out = tuple(sorted(self.directives.zones_out))
         confirmation = ConfirmLease(
             peer.guard_clock_ms,
--- a/hawthorntrack/coordination/tests/test_dispatcher.py
+++ b/hawthorntrack/coordination/tests/test_dispatcher.py
@@ -74,7 +74,11 @@
 
 
 class DispatcherHarness:
-    """A dispatcher with a manual clock, which records what it sends."""
+    """A dispatcher with a manual clock, which records what it sends.
+
+    Messages that it posts to itself for the next pass of the event loop are delivered
+    after the current one, or by `run_passes` while `hold_passes` is set.
+    """
 
     def __init__(self, loop, lease_times=LEASE_TIMES) -> None:
         self.time = 1_000.0
@@ -85,6 +89,8 @@
         self.ready = None
         self.sequence = 0
         self.delayed = []
+        self.next_pass = []
+        self.hold_passes = False
         self.dispatcher = Dispatcher(
             "recife",
             1.5,
@@ -96,13 +102,22 @@
             DRAIN_S,
             lease_times,
         )
-        self.dispatcher.post_later = lambda delay_s, body: self.delayed.append(body)
+        self.dispatcher.post_later = self.post_later
+
+    def post_later(self, delay_s, body):
+        (self.delayed if delay_s else self.next_pass).append(body)
 
     def record_ready(self, ready, reason):
         self.ready = ready
 
     def deliver(self, body, sender=CALLER):
         self.dispatcher.handle(Delivery(sender, body))
+        if not self.hold_passes:
+            self.run_passes()
+
+    def run_passes(self):
+        while self.next_pass:
+            self.dispatcher.handle(self.next_pass.pop(0))
 
     def set_directives(self, stamp=1, version=7, zones_out=()):
         catalogue = Catalogue(version, QUEUES)
@@ -148,7 +163,7 @@
         plan = JobPlan(key, "spec", steps or (StepSpec(2, NEED, 0.4),))
         reply = self.loop.create_future()
         submission = SubmitPlan(
-            "calls.example", f"/{queue}/{key}", plan, "", 9.0, reply
+            "calls.example", f"/{queue}/{key}", plan, "", self.time, 9.0, reply
         )
         self.deliver(submission._replace(**changes))
         return reply
@@ -880,3 +895,175 @@
         entry.send_heartbeat(restarted, status="draining")
     asked = {run for _, check in entry.take_messages(CheckRuns) for run in check.runs}
     assert asked == set(runs)
+
+
+def test_submission_whose_caller_left_in_the_mailbox_starts_nothing(entry):
+    """The connection closed while the submission waited in a long mailbox."""
+    left = entry.loop.create_future()
+    left.cancel()
+    entry.submit(reply=left)
+    assert entry.take_starts() == []
+    assert entry.dispatcher.jobs == {}
+
+
+def test_waiting_job_whose_callers_left_is_not_started(entry):
+    """The message about the closed connection is still in the mailbox."""
+    entry.send_heartbeat(GUARD_1, free=Resources())
+    for reply in (entry.submit(), entry.submit()):
+        reply.cancel()
+    entry.send_heartbeat(GUARD_1)
+    assert entry.take_starts() == []
+
+
+def test_no_further_task_is_started_after_all_callers_left(entry):
+    steps = (StepSpec(1, NEED, 0.1), StepSpec(1, NEED, 0.1, depends_on=(0,)))
+    reply = entry.submit(steps=steps)
+    ((_, first),) = entry.take_starts()
+    reply.cancel()
+    entry.end_run(GUARD_1, first)
+    assert entry.take_starts() == []
+
+
+def test_runs_of_callers_that_left_are_stopped_before_a_lease_confirmation(placed_job):
+    """The message about the closed connection is behind a heartbeat in the mailbox."""
+    entry, reply, runs = placed_job
+    entry.sent.clear()
+    reply.cancel()
+    entry.time += 0.2
+    entry.send_heartbeat(GUARD_1)
+    stop, confirmation = (body for _, body in entry.sent)
+    assert set(stop.runs) == set(runs)
+    assert type(confirmation) is ConfirmLease
+
+
+@pytest.mark.parametrize("left", [0, 1])
+def test_job_runs_on_while_one_of_its_callers_waits(placed_job, left):
+    entry, first_reply, runs = placed_job
+    replies = [first_reply, entry.submit()]
+    replies[left].cancel()
+    entry.time += 0.2
+    entry.send_heartbeat(GUARD_1)
+    assert entry.take_messages(StopRuns) == []
+    entry.deliver(CallerDisconnected("a" * 16, replies[left]))
+    for run in runs:
+        entry.end_run(GUARD_1, run)
+    assert replies[1 - left].result() == Completed()
+
+
+def test_job_handed_in_again_before_the_first_disconnection_is_handled(placed_job):
+    """Both attempts of the caller are at this instance; the runs continue for it."""
+    entry, first_reply, runs = placed_job
+    first_reply.cancel()
+    second_reply = entry.submit()
+    entry.deliver(CallerDisconnected("a" * 16, first_reply))
+    assert entry.take_starts() == []
+    for run in runs:
+        entry.end_run(GUARD_1, run)
+    assert second_reply.result() == Completed()
+
+
+def test_deadline_counts_from_the_arrival_of_the_request(entry):
+    """The request lay in the buffers of a process without processor time."""
+    entry.submit(arrived_at=entry.time - 0.1, steps=(StepSpec(2, NEED, 4.0),))
+    ((_, order),) = entry.take_messages(StartRuns)
+    assert order.remaining_ms == 8_900
+
+
+def test_request_that_arrived_before_its_deadline_starts_nothing_after_it(entry):
+    reply = entry.submit(arrived_at=entry.time - 9.1)
+    assert entry.take_starts() == []
+    assert isinstance(reply.result(), Refused)
+
+
+def test_waiting_job_is_not_started_after_its_deadline(entry):
+    """A heartbeat with free capacity is handled before the tick that ends the job."""
+    entry.send_heartbeat(GUARD_1, free=Resources())
+    entry.submit(deadline_s=0.3, steps=(StepSpec(2, NEED, 4.0),))
+    entry.time += 0.4
+    entry.send_heartbeat(GUARD_1)
+    assert entry.take_starts() == []
+
+
+def test_runs_past_their_deadline_are_stopped_before_a_lease_confirmation(entry):
+    """The caller is behind a half-open connection and has stopped waiting."""
+    entry.submit(deadline_s=0.3, steps=(StepSpec(2, NEED, 4.0),))
+    entry.sent.clear()
+    entry.time += 0.4
+    entry.send_heartbeat(GUARD_1)
+    assert [type(body) for _, body in entry.sent] == [StopRuns, ConfirmLease]
+
+
+def test_wait_for_the_first_configuration_does_not_extend_the_deadline(loop):
+    entry = DispatcherHarness(loop)
+    entry.submit(steps=(StepSpec(2, NEED, 4.0),))
+    entry.time += 0.4
+    entry.set_directives()
+    entry.connect_guard(GUARD_1)
+    entry.deliver(entry.delayed.pop())
+    ((_, order),) = entry.take_messages(StartRuns)
+    assert order.remaining_ms == 8_600
+
+
+@pytest.fixture
+def paused_entry(placed_job):
+    """Return an entry instance whose process was just suspended for 0.3 s.
+
+    The event loop has not read the sockets since.
+    """
+    entry, reply, runs = placed_job
+    entry.advance(0.02)
+    entry.send_heartbeat(GUARD_1)
+    entry.sent.clear()
+    entry.hold_passes = True
+    entry.time += 0.3
+    return entry, reply, runs
+
+
+@pytest.mark.parametrize("earlier", [[], [Tick()]], ids=["no_message", "tick"])
+def test_no_lease_is_confirmed_after_a_pause_before_the_sockets_are_read(
+    paused_entry, earlier
+):
+    """The end of the caller's connection is read after the guard's heartbeat."""
+    entry, reply, runs = paused_entry
+    for message in earlier:
+        entry.deliver(message)
+    entry.send_heartbeat(GUARD_1)
+    entry.deliver(Tick())
+    assert entry.sent == []
+    reply.cancel()
+    entry.run_passes()
+    stop, confirmation = (body for _, body in entry.sent)
+    assert set(stop.runs) == set(runs)
+    assert confirmation.guard_clock_ms == round(entry.time * 1000)
+
+
+def test_no_task_is_started_after_a_pause_before_the_sockets_are_read(paused_entry):
+    entry, _, _ = paused_entry
+    left, waits = entry.submit(key="b" * 16), entry.submit(key="c" * 16)
+    assert entry.take_starts() == []
+    left.cancel()
+    entry.run_passes()
+    assert {run.task.job for _, run in entry.take_starts()} == {"c" * 16}
+    assert not waits.done()
+
+
+def test_guard_of_a_broken_link_gets_no_late_lease_confirmation(paused_entry):
+    entry, _, _ = paused_entry
+    entry.send_heartbeat(GUARD_1)
+    entry.deliver(LinkDown(GUARD_1.address))
+    entry.run_passes()
+    assert entry.take_messages(ConfirmLease) == []
+
+
+def test_leases_are_confirmed_at_once_while_the_process_runs(placed_job):
+    """Load pattern: a usual day; nothing waits for another pass of the event loop."""
+    entry, _, _ = placed_job
+    entry.hold_passes = True
+    for _ in range(5):
+        entry.take_messages(ConfirmLease)
+        entry.advance(0.2)
+        entry.send_heartbeat(GUARD_1)
+        assert len(entry.take_messages(ConfirmLease)) == 1
+    entry.submit(key="b" * 16)
+    assert len(entry.take_starts()) == 2
+    assert entry.next_pass == []
