Let the time limit for a target's answer follow its answer times

What callers saw: once targets answered in more than 50 ms, on a machine that was too busy for a few seconds, nearly all jobs were refused or failed, and that went on until the callers stopped, long after the cause had ended.

Cause: a guard gave up each call after 50 ms. A call that was given up was still worked on, and was repeated: a start two more times, then looked for in the run list, then stopped; renewals twice. So a target that was slow for a moment got several times the calls, which kept it slow: a metastable state.

Change: the limit of an order follows the measured answer times, as in TCP (RFC 6298), between 50 ms and 200 ms, and doubles while nothing is answered. The lease holder decides it (`coordination/answer_times.py`) and the order carries it. No lease depends on it: an order carries the end of its lease on the target's clock, and a run ends for its owner on the same proofs as before.

Ruled out: that the owners' repeats suffice to keep targets slow.

The model's targets work on one call at a time now where a test asks for it, and go on with calls that were given up.

--- a/hawthorntrack/coordination/run_controller.py
+++ b/hawthorntrack/coordination/run_controller.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
+from hawthorntrack.coordination import answer_times, leases
 from hawthorntrack.coordination import health as health_rules
-from hawthorntrack.coordination import leases
 from hawthorntrack.coordination.run_reconciler import RunReconciler
 from hawthorntrack.coordination.target_session import (
     RUNNING,
@@ -21,7 +21,6 @@
 from hawthorntrack.protocol.target_messages import (
     StartOrder,
     StartReply,
-    StopOrder,
     StopReply,
     TargetAddress,
     TargetDeparted,
@@ -49,7 +48,7 @@
 # Further retries are delayed, because a connection to a closed port is refused
 # immediately.
 IMMEDIATE_STOP_RETRIES = 3
-# Equals the time for which an order waits for its answer.
+# Equals the shortest time for which an order waits for its answer.
 STOP_RETRY_DELAY_S = 0.05
 MAX_RUN_NUMBERS = 20_000
 
@@ -268,7 +267,13 @@
             return
         self.calls.put(
             StartOrder(
-                session.target, run.name, run.payload, lease_end_ms, session.token
+                session.target,
+                run.name,
+                run.payload,
+                lease_end_ms,
+                session.token,
+                now,
+                answer_times.timeout_s(session.answer_times),
             )
         )
 
@@ -285,7 +290,7 @@
         )
         run.phase, run.stop_reason, run.attempts = STOPPING, reason, 0
         run.last_change_at = 0.0
-        self.calls.put(StopOrder(session.target, run.name, session.token))
+        self.send_stop(session, run.name)
 
     @handles(StartReply)
     def on_start_reply(self, reply: StartReply, sender: Incarnation) -> None:
@@ -449,7 +454,7 @@
             self.request_run_list(session)
         elif reply.outcome == "fenced":
             self.advance_token(session)
-            self.calls.put(StopOrder(session.target, run.name, session.token))
+            self.send_stop(session, run.name)
         elif session.proves_ended(reply.outcome):
             self.end_session(session, "lost")
         else:
@@ -470,4 +475,4 @@
         if run is None or run.name != message.name:
             return
         if run.phase == STOPPING and not run.last_change_at:
-            self.calls.put(StopOrder(session.target, run.name, session.token))
+            self.send_stop(session, run.name)
--- a/hawthorntrack/coordination/run_reconciler.py
+++ b/hawthorntrack/coordination/run_reconciler.py
@@ -6,8 +6,8 @@
 
 from typing import Any
 
+from hawthorntrack.coordination import answer_times, leases
 from hawthorntrack.coordination import health as health_rules
-from hawthorntrack.coordination import leases
 from hawthorntrack.coordination.target_session import (
     RUNNING,
     START_UNCONFIRMED,
@@ -106,6 +106,7 @@
         session = self.sessions.get(reply.order.target.incarnation.id)
         if session is None or session.target != reply.order.target:
             return None
+        session.record_answer_time(reply.order, reply.outcome, self.clock())
         return session
 
     def open_session(self, state: TargetState, now: float) -> TargetSession:
@@ -162,11 +163,24 @@
         """Send a lease renewal and return it."""
         token, ends_seen = session.token, session.ends_seen
         order = RenewLeaseOrder(
-            session.target, lease_end_ms, token, ends_seen, wait_s, self.clock()
+            session.target,
+            lease_end_ms,
+            token,
+            ends_seen,
+            wait_s,
+            self.clock(),
+            answer_times.timeout_s(session.answer_times),
         )
         self.calls.put(order)
         return order
 
+    def send_stop(self, session: TargetSession, name: RunName) -> None:
+        """Send a stop order for a run."""
+        limit_s = answer_times.timeout_s(session.answer_times)
+        self.calls.put(
+            StopOrder(session.target, name, session.token, self.clock(), limit_s)
+        )
+
     def request_run_list(self, session: TargetSession) -> None:
         """Request the run list now, even while a renewal waits for the end of a run."""
         if session.pending_renewal is not None:
@@ -356,7 +370,7 @@
                 why="unknown_here",
                 percent=listed[name],
             )
-            self.calls.put(StopOrder(session.target, name, session.token))
+            self.send_stop(session, name)
         session.unknown_runs = unknown_runs
 
     def update_slowness(self, session: TargetSession, run: Run, now: float) -> None:
--- a/hawthorntrack/coordination/target_session.py
+++ b/hawthorntrack/coordination/target_session.py
@@ -2,9 +2,19 @@
 
 import math
 
+from hawthorntrack.coordination.answer_times import (
+    AnswerTimes,
+    after_answer,
+    after_timeout,
+)
 from hawthorntrack.coordination.leases import TargetClockReading
 from hawthorntrack.protocol.run_messages import RunOrder
-from hawthorntrack.protocol.target_messages import RenewLeaseOrder, TargetAddress
+from hawthorntrack.protocol.target_messages import (
+    RenewLeaseOrder,
+    StartOrder,
+    StopOrder,
+    TargetAddress,
+)
 from hawthorntrack.state.plans import RunName, TargetState, TaskName
 from hawthorntrack.state.resources import NO_RESOURCES, Resources
 
@@ -113,6 +123,8 @@
         Consecutive orders that failed or got no answer.
     lost_answer_at : float
         When an order last went without an answer.
+    answer_times : AnswerTimes
+        How fast the target answers.
     retry_at : float
         No run is started before this time.
     announced : bool
@@ -139,6 +151,7 @@
         self.heard_at = now
         self.failures = 0
         self.lost_answer_at = -math.inf
+        self.answer_times = AnswerTimes()
         self.retry_at = 0.0
         self.announced = True
         self.departed = False
@@ -179,6 +192,25 @@
         moved = same_incarnation and state.address != self.state.address
         return moved or state.service != self.state.service
 
+    def record_answer_time(
+        self,
+        order: StartOrder | StopOrder | RenewLeaseOrder,
+        outcome: str,
+        now: float,
+    ) -> None:
+        """Store how long an answer took, or that it did not arrive.
+
+        Explanation
+        -----------
+        An answer that comes before the end of the requested wait reports the end of a
+        run, and the time before that end is unknown.
+        """
+        answer_s = now - order.sent_at - getattr(order, "wait_s", 0.0)
+        if outcome == "unanswered":
+            self.answer_times = after_timeout(self.answer_times, order.sent_at, now)
+        elif outcome not in ("unreachable", "unsent") and answer_s >= 0:
+            self.answer_times = after_answer(self.answer_times, answer_s)
+
     def record_clock(self, clock_ms: int, now: float) -> None:
         """Store a reading of the target's clock; 0 means that there is none."""
         if clock_ms:
--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from hawthorntrack.coordination.answer_times import MAX_ORDER_TIMEOUT_S
 from hawthorntrack.coordination.leaseholder import LeaseHolder, ReportCapacity
 from hawthorntrack.coordination.leases import (
     MAX_STOP_DURATION_S,
@@ -31,6 +32,7 @@
     StopRuns,
 )
 from hawthorntrack.protocol.target_messages import (
+    ORDER_TIMEOUT_S,
     RenewLeaseOrder,
     RenewLeaseReply,
     StartOrder,
@@ -1393,3 +1395,46 @@
     assert older != []
     stopped = {stop.name.task.job for stop in guard.take_orders(StopOrder)}
     assert "b" * 16 not in stopped
+
+
+def answer_starts_after(guard, seconds, outcome="started"):
+    """Order a run whose start is answered after a time; return the start order."""
+    guard.deliver(ConfirmLease(round(guard.time * 1000), 1, ()), ENTRY)
+    guard.runs_ordered = getattr(guard, "runs_ordered", 0) + 1
+    (name,) = guard.order_runs(job=f"{guard.runs_ordered:016x}")
+    guard.time += seconds
+    (order,) = guard.answer_starts(outcome)
+    guard.time += 0.01
+    guard.answer_renewals(ended=[RunEnd(guard.runs_ordered, name, "done")])
+    return order
+
+
+def test_calls_to_a_slow_target_are_not_given_up_before_it_can_answer(guard):
+    """Seen: a target that needed over 50 ms was called three times for each start."""
+    for _ in range(20):
+        order = answer_starts_after(guard, 0.08)
+    assert 0.08 < order.timeout_s <= MAX_ORDER_TIMEOUT_S
+    guard.order_runs(job="e" * 16)
+    guard.answer_starts()
+    assert guard.take_orders(RenewLeaseOrder)[-1].timeout_s > 0.08
+
+
+def test_time_limit_has_bounds_whatever_a_target_takes(guard):
+    for seconds in (0.001, 3.0, 0.001):
+        for _ in range(60):
+            order = answer_starts_after(guard, seconds)
+            assert ORDER_TIMEOUT_S <= order.timeout_s <= MAX_ORDER_TIMEOUT_S
+    assert order.timeout_s == ORDER_TIMEOUT_S
+
+
+def test_time_limit_rises_while_nothing_is_answered_and_falls_with_an_answer(guard):
+    """An answer that comes after the limit is not measured."""
+    guard.order_runs()
+    limits = []
+    for outcome in ("unanswered", "unanswered", "started"):
+        (order,) = guard.take_orders(StartOrder)
+        limits.append(order.timeout_s)
+        guard.time += 0.001 if outcome == "started" else order.timeout_s
+        guard.deliver(StartReply(order, outcome, guard.target_clock_ms()))
+    assert limits == [ORDER_TIMEOUT_S, 2 * ORDER_TIMEOUT_S, 4 * ORDER_TIMEOUT_S]
+    assert answer_starts_after(guard, 0.001).timeout_s == ORDER_TIMEOUT_S
--- a/hawthorntrack/experiment/model_target.py
+++ b/hawthorntrack/experiment/model_target.py
@@ -30,7 +30,6 @@
 STOP_DURATION_S = 0.02
 HEARTBEAT_INTERVAL_S = 1.5
 MAX_LISTED_ENDS = 500
-NO_REPLY_TIMEOUT_S = 0.05
 
 
 class ModelRun:
@@ -72,6 +71,11 @@
         (starts are refused), ``mute`` (orders are dropped without a reply), ``late``
         (a share of the orders is executed seconds later) or ``lost`` (a share of the
         starts succeeds, but the reply is lost).
+    call_s : float
+        Time that the target works on one call, in seconds; 0.0 for unlimited calls at
+        a time. Calls queue, and those that the guard has given up stay in the queue.
+    calls : int
+        Number of calls received.
     """
 
     def __init__(
@@ -94,6 +98,10 @@
         self.needs: dict[str, Resources] = {}
         self.fault = ""
         self.fault_share = 1.0
+        self.call_s = 0.0
+        self.calls = 0
+        self.busy_until = 0.0
+        self.open_calls: dict[int, asyncio.TimerHandle] = {}
         self.draining = False
         self.replies: Mailbox | None = None
         self.incarnation_count = 0
@@ -130,18 +138,37 @@
 
     def put(self, order: Any) -> None:
         """Accept an order; stands in for the mailbox of the guard's target client."""
+        self.calls += 1
         if self.fault == "mute":
-            timeout_s = NO_REPLY_TIMEOUT_S + getattr(order, "wait_s", 0.0)
-            self.answer(order, "unanswered", timeout_s)
+            self.answer(order, "unanswered", self.time_limit_s(order))
             return
         if self.fault == "late" and self.rng.random() < self.fault_share:
             self.call_later(self.rng.uniform(2, 6), self.execute, order, False)
-            self.answer(
-                order, "unanswered", NO_REPLY_TIMEOUT_S + getattr(order, "wait_s", 0.0)
-            )
+            self.answer(order, "unanswered", self.time_limit_s(order))
+            return
+        if self.call_s:
+            self.queue_call(order)
             return
         self.call_later(CALL_DELAY_S, self.execute, order, True)
 
+    def queue_call(self, order: Any) -> None:
+        """Execute an order after all calls before it; the guard may give it up."""
+        now = self.now()
+        self.busy_until = max(now, self.busy_until) + self.call_s
+        self.open_calls[id(order)] = self.call_later(
+            self.time_limit_s(order), self.give_up, order
+        )
+        self.call_later(self.busy_until - now + CALL_DELAY_S, self.execute, order, True)
+
+    def time_limit_s(self, order: Any) -> float:
+        """Return how long the guard waits for the answer to an order, in seconds."""
+        return order.timeout_s + getattr(order, "wait_s", 0.0)
+
+    def give_up(self, order: Any) -> None:
+        """Reply that an order got no answer in time, unless its answer is under way."""
+        if id(order) in self.open_calls:
+            self.answer(order, "unanswered", 0.0)
+
     def execute(self, order: Any, awaited: bool) -> None:
         """Execute an order, and reply if the guard still waits.
 
@@ -169,7 +196,7 @@
             outcome = self.start(order)
             reply_lost = self.fault == "lost" and self.rng.random() < self.fault_share
             if reply_lost and outcome == "started":
-                self.answer(order, "unanswered", 0.05)
+                self.answer(order, "unanswered", self.time_limit_s(order))
                 return
         if awaited:
             self.answer(order, outcome)
@@ -182,7 +209,15 @@
             RenewLeaseOrder: RenewLeaseReply,
         }
         clock_ms = 0 if outcome in ("unanswered", "other_life") else self.clock_ms()
-        reply = kinds[type(order)](order, outcome, clock_ms)
+        self.send_reply(kinds[type(order)](order, outcome, clock_ms), after_s)
+
+    def send_reply(self, reply: Any, after_s: float = CALL_DELAY_S) -> None:
+        """Send a reply to the guard, unless it has given up the call."""
+        if self.call_s:
+            timer = self.open_calls.pop(id(reply.order), None)
+            if timer is None:
+                return
+            timer.cancel()
         self.call_later(after_s, self.replies.put, reply)
 
     def call_later(
@@ -317,7 +352,7 @@
             running,
             tuple(self.unseen_ends[:MAX_LISTED_ENDS]),
         )
-        self.call_later(CALL_DELAY_S, self.replies.put, reply)
+        self.send_reply(reply)
 
     def percent_done(self, run: ModelRun, now: float) -> int:
         """Return the completed share of a run's work, in percent."""
--- a/hawthorntrack/experiment/tests/test_model_site.py
+++ b/hawthorntrack/experiment/tests/test_model_site.py
@@ -1,5 +1,7 @@
 """Guarantees of a site with leased targets under each fault, in simulated time."""
 
+import asyncio
+
 import pytest
 
 from hawthorntrack.experiment.model_faults import troubles
@@ -64,3 +66,24 @@
     run(model.play(9.0, factor=lambda at: 2.2 if at < burst_ends else 0.8))
     after = [item.answer for item in model.answers if item.at > burst_ends + 2.0]
     assert after.count("in_time") >= MIN_SHARE_IN_TIME_WITHOUT_FAULTS * len(after)
+
+
+async def slow_down_calls(site: ModelSite) -> None:
+    """Let targets work on one call at a time, five times longer for three seconds."""
+    for at_s, call_s in ((0.0, 0.012), (2.0, 0.06), (3.0, 0.012)):
+        await asyncio.sleep(at_s)
+        for target in site.targets:
+            target.call_s = call_s
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_repeated_calls_do_not_keep_targets_slow_after_a_slow_down(
+    run, small_site, seed
+):
+    """Seen: guards repeated calls to slow targets until the callers stopped."""
+    model = ModelSite(small_site, seed)
+    slow_until = 1_006.0  # the loop begins at 1000 s, the faults one second later
+    run(model.play(12.0, slow_down_calls, factor=lambda at: 0.6))
+    assert model.violations == []
+    after = [item.answer for item in model.answers if item.at > slow_until + 4.0]
+    assert after.count("in_time") >= MIN_SHARE_IN_TIME_WITHOUT_FAULTS * len(after)
--- a/hawthorntrack/platform/targets.py
+++ b/hawthorntrack/platform/targets.py
@@ -16,6 +16,7 @@
     format_task_name,
 )
 from hawthorntrack.protocol.target_messages import (
+    ORDER_TIMEOUT_S,
     RenewLeaseOrder,
     RenewLeaseReply,
     StartOrder,
@@ -31,7 +32,6 @@
 from hawthorntrack.state.metrics import BAD_INPUT, labelled
 from hawthorntrack.state.values import Incarnation
 
-ORDER_TIMEOUT_S = 0.05  # a target on the same machine answers in under 1 ms
 MAX_CONNECTIONS = 12
 KEEPALIVE_S = 60.0
 HEARTBEATS_PATH = "/v1/executors/"
@@ -57,8 +57,7 @@
     replies : Mailbox
         Receives the reply to each order.
     timeout_s : float
-        Time limit for the answer to an order in seconds, in addition to the time for
-        which the order asks the target to wait.
+        Lower bound on the time limits that orders carry, in seconds.
     """
 
     def __init__(self, replies: Mailbox, timeout_s: float = ORDER_TIMEOUT_S) -> None:
@@ -97,6 +96,10 @@
         """Send a lease renewal in a task of its own."""
         self.spawn(self.send_renewal(order))
 
+    def time_limit_s(self, order: StartOrder | StopOrder | RenewLeaseOrder) -> float:
+        """Return the time limit for the answer to an order in seconds."""
+        return max(self.timeout_s, order.timeout_s)
+
     async def post(
         self, target: TargetAddress, path: str, body: dict[str, Any], timeout_s: float
     ) -> tuple[int, bytes]:
@@ -124,7 +127,7 @@
             "fencing_token": order.token,
         }
         outcome, clock_ms = await self.call_target(
-            order.target, "/v1/run-start", body, "started"
+            order, "/v1/run-start", body, "started"
         )
         self.replies.put(StartReply(order, outcome, clock_ms))
 
@@ -136,16 +139,22 @@
             "fencing_token": order.token,
         }
         outcome, clock_ms = await self.call_target(
-            order.target, "/v1/run-stop", body, "stopped"
+            order, "/v1/run-stop", body, "stopped"
         )
         self.replies.put(StopReply(order, outcome, clock_ms))
 
     async def call_target(
-        self, target: TargetAddress, path: str, body: dict[str, Any], success: str
+        self,
+        order: StartOrder | StopOrder,
+        path: str,
+        body: dict[str, Any],
+        success: str,
     ) -> tuple[str, int]:
         """Post an order; return its outcome and the target's clock."""
         try:
-            status, data = await self.post(target, path, body, self.timeout_s)
+            status, data = await self.post(
+                order.target, path, body, self.time_limit_s(order)
+            )
         except aiohttp.ClientConnectorError as error:
             return connect_failure_outcome(error), 0
         except CALL_ERRORS:
@@ -170,7 +179,10 @@
             body["wait_ms"] = round(order.wait_s * 1000)
         try:
             status, data = await self.post(
-                order.target, "/v1/hold", body, order.wait_s + self.timeout_s
+                order.target,
+                "/v1/hold",
+                body,
+                order.wait_s + self.time_limit_s(order),
             )
             if status == 200:
                 clock_ms, born_ms, running, ended = decode_run_lists(data)
--- a/hawthorntrack/protocol/target_messages.py
+++ b/hawthorntrack/protocol/target_messages.py
@@ -10,6 +10,8 @@
     TargetState,
 )
 
+ORDER_TIMEOUT_S = 0.05  # a target on the same machine answers in under 1 ms
+
 
 class TargetAddress(NamedTuple):
     """The target incarnation that an order is meant for, and its address."""
@@ -28,6 +30,10 @@
         of any job may continue on the target after it.
     token : int
         Fencing token; the target ignores orders with a lower one.
+    sent_at : float
+        When the order was sent, in seconds on the guard's clock.
+    timeout_s : float
+        Time limit for the answer in seconds.
     """
 
     target: TargetAddress
@@ -35,6 +41,8 @@
     payload: str
     lease_end_ms: int
     token: int
+    sent_at: float = 0.0
+    timeout_s: float = ORDER_TIMEOUT_S
 
 
 class StopOrder(NamedTuple):
@@ -43,6 +51,8 @@
     target: TargetAddress
     name: RunName
     token: int
+    sent_at: float = 0.0
+    timeout_s: float = ORDER_TIMEOUT_S
 
 
 class RenewLeaseOrder(NamedTuple):
@@ -58,6 +68,8 @@
         How long the target may wait for a run to end before it answers, in seconds.
     sent_at : float
         When the order was sent, in seconds on the guard's clock.
+    timeout_s : float
+        Time limit for the answer in seconds, in addition to `wait_s`.
     """
 
     target: TargetAddress
@@ -66,6 +78,7 @@
     ends_seen: int
     wait_s: float
     sent_at: float
+    timeout_s: float = ORDER_TIMEOUT_S
 
 
 class StartReply(NamedTuple):
