--- a/hawthorntrack/platform/tests/test_departed_callers.py
+++ b/hawthorntrack/platform/tests/test_departed_callers.py
@@ -21,6 +21,7 @@
 from hawthorntrack.state.catalogue import Catalogue, Queue
 from hawthorntrack.state.clock import seconds_since_boot
 from hawthorntrack.state.directives import Directives
+from hawthorntrack.state.lease_times import DeploymentTimes, derive_lease_times
 from hawthorntrack.state.mailbox import Mailbox, Tick
 from hawthorntrack.state.resources import Resources
 from hawthorntrack.state.values import Incarnation
@@ -55,6 +56,7 @@
             lambda ready, reason: None,
             self.clock,
             5.0,
+            derive_lease_times(DeploymentTimes()),
         )
         self.handler = CallersHandler(self.dispatcher.mailbox, self.clock)
 
