Look only at a guard's own jobs before its lease is confirmed

Each confirmation looked at all open jobs for callers that have left. Guards send five heartbeats a second, so the work grew with the product of guards and open jobs. A confirmation concerns the runs at one guard only; the others are looked at before each placement and at each tick, as before. The tests of the dispatcher and of departed callers pass unchanged.

--- a/hawthorntrack/coordination/dispatcher.py
+++ b/hawthorntrack/coordination/dispatcher.py
@@ -1,7 +1,7 @@
 """Job dispatcher of an entry instance: admits multi-step jobs and answers them."""
 
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from itertools import takewhile
 from typing import Any, NamedTuple
 
@@ -406,8 +406,8 @@
         self.placement_pending = True
         self.report_drained()
 
-    def end_unawaited_jobs(self) -> None:
-        """End the jobs whose callers have left or have stopped waiting.
+    def end_unawaited_jobs(self, jobs: Iterable[Job]) -> None:
+        """End those of the jobs whose callers have left or have stopped waiting.
 
         Explanation
         -----------
@@ -417,7 +417,7 @@
         wait no longer than its deadline.
         """
         now = self.clock()
-        for job in list(self.jobs.values()):
+        for job in list(jobs):
             if job.callers_left:
                 self.end_job(job, Abandoned("caller_left"))
             elif job.deadline_at <= now:
@@ -467,7 +467,7 @@
     def on_tick(self, tick: Tick, sender: Incarnation) -> None:
         """End expired jobs, and reschedule the runs of silent guards."""
         now = self.sockets_read_at = self.clock()
-        self.end_unawaited_jobs()
+        self.end_unawaited_jobs(self.jobs.values())
         for job in list(self.jobs.values()):
             if not job.begun and job.placement_deadline_at <= now:
                 self.end_job(job, self.overload_refusal(job))
--- a/hawthorntrack/coordination/run_placement.py
+++ b/hawthorntrack/coordination/run_placement.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from statistics import median
 from typing import Any
 
@@ -105,8 +105,8 @@
         """Answer a job and stop its remaining runs."""
         raise NotImplementedError
 
-    def end_unawaited_jobs(self) -> None:
-        """End the jobs whose callers have left or have stopped waiting."""
+    def end_unawaited_jobs(self, jobs: Iterable[Job]) -> None:
+        """End those of the jobs whose callers have left or have stopped waiting."""
         raise NotImplementedError
 
     def report_ready(self) -> None:
@@ -122,7 +122,7 @@
 
     def place_waiting(self) -> None:
         """Place waiting tasks in the order that the current policy gives."""
-        self.end_unawaited_jobs()
+        self.end_unawaited_jobs(self.jobs.values())
         queues: dict[str, list[Job]] = defaultdict(list)
         for job in self.jobs.values():
             if not job.process_suspended and job.waiting():
@@ -316,7 +316,7 @@
         A confirmation extends the lease of all runs of this instance at the guard, so
         the unwanted ones are stopped first.
         """
-        self.end_unawaited_jobs()
+        self.end_unawaited_jobs(self.jobs_at(peer))
         zones_out = tuple(sorted(self.directives.zones_out))
         confirmation = ConfirmLease(
             peer.guard_clock_ms,
@@ -388,6 +388,11 @@
         ]
         self.send(peer.address, CheckRuns(tuple(names)))
 
+    def jobs_at(self, peer: GuardPeer) -> list[Job]:
+        """Return the open jobs that have runs at a guard."""
+        keys = dict.fromkeys(task.job for task in peer.runs)
+        return [self.jobs[key] for key in keys if key in self.jobs]
+
     def tasks_placed_at(self, peer: GuardPeer) -> list[Task]:
         """Return the tasks that are placed at a guard."""
         placed = (self.find_placed_task(peer, run) for run in peer.runs.values())
