Start where a platform leaves a lease's time at zero

A platform that does not use the time to a caller's next attempt may pass 0 for it. The settings took that for callers that try again at once, and the process did not start (InvalidInput, use at least 967). 0 now means the usual time, like a missing value. The test of missing values has the case 0 as well and failed on it before: InvalidInput, caller_retry_ms.

--- a/hawthorntrack/state/node_settings.py
+++ b/hawthorntrack/state/node_settings.py
@@ -126,6 +126,11 @@
 def check_lease_times(body: NodeBody, source: str) -> LeaseTimes:
     """Return the lease times that follow from the deployment's times.
 
+    Explanation
+    -----------
+    A time of 0 or null has the same meaning as a missing one: a platform that does not
+    use it may leave it empty.
+
     Raises
     ------
     InvalidInput
@@ -136,7 +141,7 @@
         **{
             name: body[name]
             for name in DeploymentTimes._fields
-            if body.get(name) is not None
+            if body.get(name)
         }
     )
     least_ms = min_caller_retry_ms(given.stop_ms)
--- a/hawthorntrack/state/tests/test_node_settings.py
+++ b/hawthorntrack/state/tests/test_node_settings.py
@@ -23,10 +23,13 @@
     return parse_node_settings({**BODY, **changes}, "node.yaml").lease_times
 
 
-def test_settings_without_the_deployments_times_give_the_usual_lease_times():
+@pytest.mark.parametrize("empty", [None, 0])
+def test_settings_without_the_deployments_times_give_the_usual_lease_times(empty):
+    """A platform whose callers never submit again leaves their time empty."""
     assert lease_times() == derive_lease_times(DeploymentTimes())
-    missing = dict.fromkeys(("caller_retry_ms", "max_target_lease_ms", "stop_ms"))
-    assert lease_times(**missing) == derive_lease_times(DeploymentTimes())
+    names = ("caller_retry_ms", "max_target_lease_ms", "stop_ms")
+    changes = dict.fromkeys(names, empty)
+    assert lease_times(**changes) == derive_lease_times(DeploymentTimes())
 
 
 def test_lease_times_follow_from_the_deployments_times():
