Bound repeated calls to a target by a budget

What callers would see: a target that needs more than the longest time limit of an order (200 ms) for its answers gets three starts for each run, two renewals for each that it may answer later, and a run list for each run that is looked for. It works on all of them, so that it stays slow.

Cause: only the number of repeats of one start was limited, not their share of all calls. Duplicates of renewals were sent for three seconds after each lost answer, so as long as answers were lost.

Change: a guard has a budget per target, a token bucket as that of `coordination/retries.py`, to which each first call adds 0.2 and each second 20. Repeated starts and duplicates take from it, and so do run lists that are requested while another one is under way. Without budget a start is looked for in the run list at once, and lists are requested one after the other. Stops need none: until one is confirmed, it is repeated as before. An unanswered start is still verified by a list that was requested after it, and fenced by a stop.

Failed before (500 starts in one second, none answered, budget without end): test_repeated_starts_are_a_bounded_share_of_the_calls_to_a_target, "assert (1500 - 500) <= (42.0 + (0.2 * (500 + 3999)))"; passes now. 2212 tests of coordination, platform, protocol and test_model_site.py pass.

--- a/hawthorntrack/coordination/retries.py
+++ b/hawthorntrack/coordination/retries.py
@@ -1,4 +1,4 @@
-"""Retries of tasks that a guard returned unstarted."""
+"""Retries of tasks that a guard returned unstarted, and of calls to its target."""
 
 from typing import NamedTuple
 
@@ -10,6 +10,10 @@
 BUDGET_BURST = 200
 # An owner that starts few tasks can still retry at this rate.
 BUDGET_FLOOR_PER_S = 20.0
+# Equals what the floor adds in one second.
+TARGET_BUDGET_BURST = 20
+# The share of repeats that an overloaded target has to bear beside the first calls.
+TARGET_BUDGET_RATIO = 0.2
 
 
 class RetryDecision(NamedTuple):
@@ -32,6 +36,19 @@
     return TokenBucket(BUDGET_FLOOR_PER_S, BUDGET_BURST)
 
 
+def new_target_budget() -> TokenBucket:
+    """Return a guard's budget for repeats; each first call to its target adds to it.
+
+    Explanation
+    -----------
+    Repeats of calls that a slow target is still working on keep it slow. The budget
+    covers repeated starts, duplicates of renewals, and run lists that are requested
+    while another one is under way. Stops need none: until one is confirmed, it is
+    repeated, and the lease of its run is not renewed.
+    """
+    return TokenBucket(BUDGET_FLOOR_PER_S, TARGET_BUDGET_BURST)
+
+
 def decide_retry(
     attempt: int, document: Document, budget: TokenBucket, now: float
 ) -> RetryDecision:
--- a/hawthorntrack/coordination/run_controller.py
+++ b/hawthorntrack/coordination/run_controller.py
@@ -9,6 +9,7 @@
 
 from hawthorntrack.coordination import answer_times, leases
 from hawthorntrack.coordination import health as health_rules
+from hawthorntrack.coordination.retries import TARGET_BUDGET_RATIO
 from hawthorntrack.coordination.run_reconciler import RunReconciler
 from hawthorntrack.coordination.target_session import (
     RUNNING,
@@ -261,6 +262,8 @@
         self.run_numbers[run.name.task] = run.name.run
         run.phase = STARTING
         lease_end_ms = self.granted_lease_ms(session, now)
+        if not run.unanswered_retries:
+            session.repeats.add_tokens(TARGET_BUDGET_RATIO)
         if session.lease_end <= now:
             # Runs without a confirmed stop prevent a new lease and occupy capacity.
             self.on_no_room(session, run)
@@ -413,12 +416,14 @@
 
         Explanation
         -----------
-        A target starts the same run only once, however often the order arrives.
+        A target starts the same run only once, however often the order arrives. Without
+        budget for a repeat, the run is looked for at once.
         """
         labelled(RETRIES, "start_unanswered").inc()
         session.lost_answer_at = self.clock()
         self.log_start_retry(session, run, "start_unanswered")
-        if run.unanswered_retries < MAX_UNANSWERED_START_RETRIES:
+        may_repeat = run.unanswered_retries < MAX_UNANSWERED_START_RETRIES
+        if may_repeat and session.repeats.take(self.clock()):
             run.unanswered_retries += 1
             self.send_start(session, run)
             return
--- a/hawthorntrack/coordination/run_reconciler.py
+++ b/hawthorntrack/coordination/run_reconciler.py
@@ -8,6 +8,7 @@
 
 from hawthorntrack.coordination import answer_times, leases
 from hawthorntrack.coordination import health as health_rules
+from hawthorntrack.coordination.retries import TARGET_BUDGET_RATIO
 from hawthorntrack.coordination.target_session import (
     RUNNING,
     START_UNCONFIRMED,
@@ -153,7 +154,9 @@
         long_poll = session.unknown_runs or (session.runs and session.verified)
         wait_s = RENEWAL_LONG_POLL_S if long_poll else 0.0
         session.pending_renewal = self.send_renewal(session, lease_end_ms, wait_s)
-        if long_poll and now < session.lost_answer_at + DUPLICATE_RENEWALS_S:
+        session.repeats.add_tokens(TARGET_BUDGET_RATIO)
+        answers_lost = now < session.lost_answer_at + DUPLICATE_RENEWALS_S
+        if long_poll and answers_lost and session.repeats.take(now):
             # If one answer is lost, the other one still reports the end of a run.
             self.send_renewal(session, lease_end_ms, wait_s)
 
@@ -182,12 +185,27 @@
         )
 
     def request_run_list(self, session: TargetSession) -> None:
-        """Request the run list now, even while a renewal waits for the end of a run."""
-        if session.pending_renewal is not None:
-            lease_end_ms = self.renewal_lease_ms(session, self.clock())
-            self.send_renewal(session, lease_end_ms, 0.0)
-        else:
+        """Request the run list now, even while a renewal waits for the end of a run.
+
+        Explanation
+        -----------
+        Without budget, a further list is requested only once the one before has been
+        answered or given up.
+        """
+        now = self.clock()
+        if session.pending_renewal is None:
             self.renew_lease(session)
+        elif session.pending_list is not None and not session.repeats.take(now):
+            session.list_wanted = True
+        else:
+            lease_end_ms = self.renewal_lease_ms(session, now)
+            session.pending_list = self.send_renewal(session, lease_end_ms, 0.0)
+
+    def request_wanted_list(self, session: TargetSession) -> None:
+        """Request the run list if that had to wait for an earlier list."""
+        if session.list_wanted and session.pending_list is None:
+            session.list_wanted = False
+            self.request_run_list(session)
 
     def renewal_lease_ms(self, session: TargetSession, now: float) -> int | None:
         """Return the lease end for a renewal; None to leave the lease unchanged."""
@@ -234,6 +252,8 @@
         now = self.clock()
         if reply.order is session.pending_renewal:
             session.pending_renewal = None
+        if reply.order is session.pending_list:
+            session.pending_list = None
         if reply.outcome == "held" and self.is_other_incarnation(session, reply):
             incarnation = session.state.incarnation._replace(born_ms=reply.born_ms)
             self.begin_incarnation(
@@ -244,14 +264,17 @@
         if reply.outcome == "held":
             self.reconcile_runs(session, reply, now)
             self.renew_lease(session)
+            self.request_wanted_list(session)
             return
         if session.proves_ended(reply.outcome):
             self.end_session(session, "lost")
         elif reply.outcome == "fenced":
             self.advance_token(session)
             self.renew_lease(session)
+            self.request_wanted_list(session)
         else:
             session.lost_answer_at = now
+            self.request_wanted_list(session)
             if self.answered_by_later_renewal(session, reply):
                 return
             session.failures += 1
--- a/hawthorntrack/coordination/target_session.py
+++ b/hawthorntrack/coordination/target_session.py
@@ -8,6 +8,7 @@
     after_timeout,
 )
 from hawthorntrack.coordination.leases import TargetClockReading
+from hawthorntrack.coordination.retries import new_target_budget
 from hawthorntrack.protocol.run_messages import RunOrder
 from hawthorntrack.protocol.target_messages import (
     RenewLeaseOrder,
@@ -125,6 +126,13 @@
         When an order last went without an answer.
     answer_times : AnswerTimes
         How fast the target answers.
+    repeats : TokenBucket
+        Budget for repeated calls.
+    pending_list : RenewLeaseOrder or None
+        The newest request for the run lists, besides `pending_renewal`, that is not
+        answered yet.
+    list_wanted : bool
+        Whether the lists are to be requested again once `pending_list` is answered.
     retry_at : float
         No run is started before this time.
     announced : bool
@@ -152,6 +160,9 @@
         self.failures = 0
         self.lost_answer_at = -math.inf
         self.answer_times = AnswerTimes()
+        self.repeats = new_target_budget()
+        self.pending_list: RenewLeaseOrder | None = None
+        self.list_wanted = False
         self.retry_at = 0.0
         self.announced = True
         self.departed = False
--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -12,9 +12,15 @@
     runs_gone_by,
     to_target_clock_ms,
 )
+from hawthorntrack.coordination.retries import (
+    BUDGET_FLOOR_PER_S,
+    TARGET_BUDGET_BURST,
+    TARGET_BUDGET_RATIO,
+)
 from hawthorntrack.coordination.run_controller import (
     MAX_UNANSWERED_START_RETRIES,
     NO_CAPACITY_PAUSE_S,
+    STOP_RETRY_DELAY_S,
 )
 from hawthorntrack.protocol.links import LinkDown
 from hawthorntrack.protocol.local import Drain
@@ -143,13 +149,15 @@
         self.deliver(TargetHeartbeat(state._replace(**changes)))
 
     def answer_renewals(self, running=(), ended=(), outcome="held"):
-        """Answer all renewals that were sent, with the same run lists."""
-        for order in self.take_orders(RenewLeaseOrder):
+        """Answer all renewals that were sent, with the same run lists; return them."""
+        orders = self.take_orders(RenewLeaseOrder)
+        for order in orders:
             born_ms = order.target.incarnation.born_ms
             lists = (tuple(running), tuple(ended))
             self.deliver(
                 RenewLeaseReply(order, outcome, self.target_clock_ms(), born_ms, *lists)
             )
+        return orders
 
     def order_runs(
         self, count=1, job="a" * 16, number=1, age_s=0.0, remaining_ms=9_000
@@ -1438,3 +1446,87 @@
         guard.deliver(StartReply(order, outcome, guard.target_clock_ms()))
     assert limits == [ORDER_TIMEOUT_S, 2 * ORDER_TIMEOUT_S, 4 * ORDER_TIMEOUT_S]
     assert answer_starts_after(guard, 0.001).timeout_s == ORDER_TIMEOUT_S
+
+
+def exhaust_repeats(guard):
+    """Take all of the budget for repeated calls to the target."""
+    repeats = guard.holder.current_session().repeats
+    while repeats.take(guard.time):
+        pass
+
+
+def test_repeated_starts_are_a_bounded_share_of_the_calls_to_a_target(guard):
+    """Seen: three calls for each start kept a slow target slow until callers left."""
+    first, sent, renewals, seconds = 500, 0, 0, 1.0
+    for number in range(first):
+        guard.deliver(ConfirmLease(round(guard.time * 1000), 1, ()), ENTRY)
+        guard.order_runs(job=f"{number:016x}")
+        guard.time += seconds / first
+        for _ in range(1 + MAX_UNANSWERED_START_RETRIES):
+            sent += len(guard.answer_starts("unanswered"))
+        # The run is not in the lists; it is fenced by a stop, and ends.
+        for _ in range(3):
+            guard.time += 1e-4
+            renewals += len(guard.answer_renewals())
+            for stop in guard.take_orders(StopOrder):
+                guard.deliver(StopReply(stop, "stopped", guard.target_clock_ms()))
+        guard.deliver(Tick())
+    assert len(guard.holder.current_session().runs) <= 1
+    allowed = TARGET_BUDGET_BURST + 1.1 * seconds * BUDGET_FLOOR_PER_S
+    assert sent - first <= allowed + TARGET_BUDGET_RATIO * (first + renewals)
+
+
+def test_unanswered_start_without_budget_is_verified_and_fenced_at_once(guard):
+    (name,) = guard.order_runs()
+    exhaust_repeats(guard)
+    guard.answer_starts("unanswered")
+    assert guard.take_orders(StartOrder) == []
+    guard.time += 0.01
+    guard.answer_renewals()
+    guard.answer_renewals()
+    assert [stop.name for stop in guard.take_orders(StopOrder)] == [name]
+    assert guard.take_messages(RunsEnded) == []
+
+
+def test_renewals_are_sent_once_without_budget_although_answers_are_lost(running):
+    guard, name = running
+    guard.holder.current_session().lost_answer_at = guard.time
+    guard.answer_renewals([RunStatus(name, 2)])
+    assert len(guard.take_orders(RenewLeaseOrder)) == 2
+    guard.holder.current_session().pending_renewal = None
+    exhaust_repeats(guard)
+    guard.deliver(Tick())
+    assert len(guard.take_orders(RenewLeaseOrder)) == 1
+
+
+def test_unconfirmed_stop_is_repeated_without_budget(running):
+    guard, name = running
+    delays = []
+    guard.holder.post_later = lambda delay_s, retry: delays.append((delay_s, retry))
+    guard.deliver(CancelJobRuns(name.task.job), ENTRY)
+    exhaust_repeats(guard)
+    for _ in range(10):
+        (stop,) = guard.take_orders(StopOrder)
+        assert stop.name == name
+        guard.time += stop.timeout_s
+        guard.deliver(StopReply(stop, "unanswered"))
+        if delays:
+            delay_s, retry = delays.pop()
+            assert stop.timeout_s + delay_s <= MAX_ORDER_TIMEOUT_S + STOP_RETRY_DELAY_S
+            guard.time += delay_s
+            guard.deliver(retry)
+
+
+def test_lists_without_budget_are_requested_one_after_the_other(running):
+    """A list that is requested later than a stop is still needed to end its run."""
+    guard, _ = running
+    session = guard.holder.current_session()
+    exhaust_repeats(guard)
+    for _ in range(5):
+        guard.holder.request_run_list(session)
+    renewal, *lists = guard.take_orders(RenewLeaseOrder)
+    assert (renewal, len(lists)) == (session.pending_renewal, 1)
+    sent_at, guard.time = guard.time, guard.time + 0.01
+    guard.deliver(RenewLeaseReply(lists[0], "unanswered"))
+    (following,) = guard.take_orders(RenewLeaseOrder)
+    assert following.sent_at > sent_at
