--- a/hawthorntrack/platform/tests/test_calls.py
+++ b/hawthorntrack/platform/tests/test_calls.py
@@ -12,6 +12,7 @@
 from hawthorntrack.platform.targets import HeartbeatHandler, TargetCalls
 from hawthorntrack.protocol.job_requests import CallerDisconnected, SubmitPlan
 from hawthorntrack.protocol.target_messages import (
+    ORDER_TIMEOUT_S,
     RenewLeaseOrder,
     StartOrder,
     StopOrder,
@@ -139,6 +140,38 @@
     assert asyncio.run(scenario()) == [outcome] * 3
 
 
+def test_order_is_given_up_only_after_the_time_limit_that_it_carries(with_server):
+    """Seen: calls to a slow target were given up after a fixed 50 ms, and repeated."""
+
+    async def answer_late(request):
+        await asyncio.sleep(4 * ORDER_TIMEOUT_S)
+        return web.Response(body=b'{"clock_ms": 5, "running": [], "ended": []}')
+
+    async def scenario(address):
+        replies = Mailbox("replies")
+        calls = TargetCalls(replies)
+        task = asyncio.create_task(calls.run())
+        target = TargetAddress(TargetIncarnation("i-1", 7), address)
+        name = RunName(TaskName(KEY, 0, 0, 3), 2)
+        outcomes = {}
+        for limit_s in (ORDER_TIMEOUT_S, TIMEOUT_S):
+            orders = (
+                StartOrder(target, name, "text", 900, 50, timeout_s=limit_s),
+                StopOrder(target, name, 50, timeout_s=limit_s),
+                RenewLeaseOrder(target, None, 50, 0, 0.0, 0.0, limit_s),
+            )
+            for order in orders:
+                calls.mailbox.put(order)
+            outcomes[limit_s] = {(await replies.get()).outcome for _ in orders}
+        task.cancel()
+        return outcomes
+
+    assert with_server(answer_late, scenario) == {
+        ORDER_TIMEOUT_S: {"unanswered"},
+        TIMEOUT_S: {"started", "stopped", "held"},
+    }
+
+
 def test_unreadable_run_lists_count_as_unanswered(with_server, stand_in):
     stand_in.answers["/v1/hold"] = (200, {"clock_ms": 1, "running": [["x"]]})
 
