Fence orders without an answer by the token of the orders that follow

Callers would see a task run twice at once where targets carry orders out seconds late and the lease time that these grant counts from then. A renewal from seconds before extended the lease of runs whose guard had been suspended and given up by their owner, or whose stops got no answer and which were reported as lapsed; a start from seconds before began a run that had been reported as ended.

Cause: all orders of a session carried one fencing token, so nothing refused an earlier order that arrives after later ones. The bound after which runs have certainly ended counts from the orders that the guard knows to be in force, and an order without an answer was taken to be over.

Ruled out: late orders whose deadline stays as sent.

Once an order gets no answer, all later ones carry a higher token; a late order takes longer than its time-out, so any later order that is executed fences it. An order that is overtaken by one with the new token is refused as well. It is sent again with the session's token, and the doubling steps are kept for tokens of an earlier guard.

In what is left, a guard is suspended right after a start that got no answer, until that start is executed, so that no order can fence it. The tests failed before: "assert 50 > 50" for the token after an unanswered start, renewal and stop, and "assert 1050 == 50" for an order that was overtaken.

--- a/hawthorntrack/coordination/run_controller.py
+++ b/hawthorntrack/coordination/run_controller.py
@@ -293,6 +293,7 @@
         session = self.session_for_reply(reply)
         if session is None:
             return
+        self.update_token(session, reply)
         session.record_clock(reply.clock_ms, self.clock())
         run = session.runs.get(reply.order.name.task)
         if run is None or run.name != reply.order.name:
@@ -311,8 +312,7 @@
 
     @start_outcome_handlers.register("fenced")
     def on_fenced(self, session: TargetSession, run: Run) -> None:
-        """Retry a start with a higher token."""
-        self.advance_token(session)
+        """Retry a start with the token that was raised after the refusal."""
         self.retry_start(session, run, "fenced")
 
     @start_outcome_handlers.register("old_run")
@@ -438,6 +438,7 @@
         session = self.session_for_reply(reply)
         if session is None:
             return
+        self.update_token(session, reply)
         session.record_clock(reply.clock_ms, self.clock())
         if reply.outcome == "stopped":
             session.unknown_runs.discard(reply.order.name)
@@ -448,7 +449,6 @@
             run.last_change_at = self.clock()
             self.request_run_list(session)
         elif reply.outcome == "fenced":
-            self.advance_token(session)
             self.calls.put(StopOrder(session.target, run.name, session.token))
         elif session.proves_ended(reply.outcome):
             self.end_session(session, "lost")
--- a/hawthorntrack/coordination/run_reconciler.py
+++ b/hawthorntrack/coordination/run_reconciler.py
@@ -121,10 +121,26 @@
         self.sessions[state.incarnation.id] = session
         return session
 
-    def advance_token(self, session: TargetSession) -> None:
-        """Raise the session's token after the target refused it."""
-        session.fencing_refusals += 1
-        session.token = leases.next_token(session.token, session.fencing_refusals)
+    def update_token(
+        self,
+        session: TargetSession,
+        reply: StartReply | StopReply | RenewLeaseReply,
+    ) -> None:
+        """Raise the session's token after an order was refused or got no answer.
+
+        Explanation
+        -----------
+        An order without an answer may be executed seconds later and would then start a
+        run, or extend the lease of runs, that the guard has given up. A higher token in
+        the orders that follow fences it. An order that was overtaken by one of them is
+        refused as well, although the session's token is high enough.
+        """
+        refused = reply.outcome == "fenced" and reply.order.token == session.token
+        if refused:
+            session.fencing_refusals += 1
+            session.token = leases.next_token(session.token, session.fencing_refusals)
+        elif reply.outcome == "unanswered":
+            session.token = max(session.token, reply.order.token + 1)
         following = leases.next_token(session.token, 1)
         self.next_token = max(self.next_token, following)
 
@@ -218,6 +234,7 @@
         if session is None:
             return
         now = self.clock()
+        self.update_token(session, reply)
         if reply.order is session.pending_renewal:
             session.pending_renewal = None
         if reply.outcome == "held" and self.is_other_incarnation(session, reply):
@@ -234,7 +251,6 @@
         if session.proves_ended(reply.outcome):
             self.end_session(session, "lost")
         elif reply.outcome == "fenced":
-            self.advance_token(session)
             self.renew_lease(session)
         else:
             session.lost_answer_at = now
--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -523,6 +523,44 @@
     ]
 
 
+def test_start_executed_seconds_late_is_fenced_by_the_next_order(guard):
+    """Otherwise it starts a run that has been reported as ended meanwhile."""
+    guard.order_runs()
+    (unanswered,) = guard.answer_starts("unanswered")
+    (repeated,) = guard.take_orders(StartOrder)
+    assert repeated.token > unanswered.token
+
+
+def test_renewal_executed_seconds_late_is_fenced_by_the_next_order(running):
+    """Otherwise it extends the lease of runs while the guard is suspended."""
+    guard, _ = running
+    (unanswered,) = guard.take_orders(RenewLeaseOrder)
+    guard.deliver(RenewLeaseReply(unanswered, "unanswered"))
+    tokens = {order.token for order in guard.take_orders(RenewLeaseOrder)}
+    assert tokens
+    assert min(tokens) > unanswered.token
+
+
+def test_stop_executed_seconds_late_is_fenced_by_the_next_order(running):
+    guard, name = running
+    guard.deliver(StopRuns((name,)), ENTRY)
+    (unanswered,) = guard.take_orders(StopOrder)
+    guard.deliver(StopReply(unanswered, "unanswered"))
+    (repeated,) = guard.take_orders(StopOrder)
+    assert repeated.token > unanswered.token
+
+
+def test_refusal_of_an_overtaken_order_does_not_raise_the_token(guard):
+    """Steps that double without need would exceed the range of a token."""
+    guard.order_runs(count=2)
+    first, second = guard.take_orders(StartOrder)
+    guard.deliver(StartReply(first, "unanswered"))
+    (repeated,) = guard.take_orders(StartOrder)
+    guard.deliver(StartReply(second, "fenced", guard.target_clock_ms()))
+    (overtaken,) = guard.take_orders(StartOrder)
+    assert overtaken.token == repeated.token
+
+
 def test_unanswered_stop_is_retried(running):
     guard, name = running
     guard.deliver(StopRuns((name,)), ENTRY)
