Play late grants beside suspended guards in the simulated site

Targets of the simulated site can carry orders out seconds late so that the lease time counts from then, and a trouble combines this with guards that are suspended for longer than an owner waits and shorter than any order is late.

--- a/hawthorntrack/experiment/model_faults.py
+++ b/hawthorntrack/experiment/model_faults.py
@@ -1,6 +1,7 @@
 """Faults and fault sequences for the simulated site."""
 
 import asyncio
+import itertools
 from collections.abc import Awaitable, Callable
 
 from hawthorntrack.experiment.model_site import ModelSite
@@ -13,6 +14,11 @@
 
 START_DELAY_S = 1.0
 FAULT_DURATION_S = 3.0
+LATE_GRANTS_SHARE = 0.2
+GUARDS_FROZEN_AT_ONCE = 2
+# Longer than an owner waits for a silent guard, shorter than any order is late.
+MIN_FREEZE_S = 1.2
+MAX_FREEZE_S = 1.8
 
 
 @trouble("none")
@@ -109,6 +115,29 @@
 target_fault("lost", 11, 0.1)
 
 
+@trouble("guards_frozen_and_grants_late")
+async def guards_frozen_and_grants_late(site: ModelSite) -> None:
+    """Freeze guards in turn while a share of the orders grants its lease late.
+
+    Explanation
+    -----------
+    The owner of a run gives up a frozen guard before the guard continues. The guard
+    continues before its last orders are executed, so it can still fence them.
+    """
+    await asyncio.sleep(START_DELAY_S)
+    for target in site.targets:
+        target.fault, target.fault_share = "late_grants", LATE_GRANTS_SHARE
+    remaining = iter([*site.guards])
+    while guards := list(itertools.islice(remaining, GUARDS_FROZEN_AT_ONCE)):
+        for guard in guards:
+            guard.freeze()
+        await asyncio.sleep(site.rng.uniform(MIN_FREEZE_S, MAX_FREEZE_S))
+        for guard in guards:
+            guard.thaw()
+    for target in site.targets:
+        target.fault = ""
+
+
 @trouble("targets_slow")
 async def targets_slow(site: ModelSite) -> None:
     """Slow two targets, a sixth of the small site, down seven times for a while."""
--- a/hawthorntrack/experiment/model_target.py
+++ b/hawthorntrack/experiment/model_target.py
@@ -31,6 +31,17 @@
 HEARTBEAT_INTERVAL_S = 1.5
 MAX_LISTED_ENDS = 500
 NO_REPLY_TIMEOUT_S = 0.05
+# Bounds of the time by which an order that gets no answer is executed late.
+MIN_LATE_S = 2.0
+MAX_LATE_S = 6.0
+
+
+def extended_by(order: Any, delay_s: float) -> Any:
+    """Return an order with the end of the lease that it grants moved by a delay."""
+    lease_end_ms = getattr(order, "lease_end_ms", None)
+    if lease_end_ms is None:
+        return order
+    return order._replace(lease_end_ms=lease_end_ms + round(delay_s * 1000))
 
 
 class ModelRun:
@@ -70,8 +81,9 @@
     fault : str
         ``""``, ``errors`` (runs fail), ``hang`` (runs make no progress), ``shed``
         (starts are refused), ``mute`` (orders are dropped without a reply), ``late``
-        (a share of the orders is executed seconds later) or ``lost`` (a share of the
-        starts succeeds, but the reply is lost).
+        (a share of the orders is executed seconds later), ``late_grants`` (the same,
+        and the lease time that they grant counts from their execution) or ``lost`` (a
+        share of the starts succeeds, but the reply is lost).
     """
 
     def __init__(
@@ -134,8 +146,13 @@
             timeout_s = NO_REPLY_TIMEOUT_S + getattr(order, "wait_s", 0.0)
             self.answer(order, "unanswered", timeout_s)
             return
-        if self.fault == "late" and self.rng.random() < self.fault_share:
-            self.call_later(self.rng.uniform(2, 6), self.execute, order, False)
+        late = self.fault in ("late", "late_grants")
+        if late and self.rng.random() < self.fault_share:
+            delay_s = self.rng.uniform(MIN_LATE_S, MAX_LATE_S)
+            executed = order
+            if self.fault == "late_grants":
+                executed = extended_by(order, delay_s)
+            self.call_later(delay_s, self.execute, executed, False)
             self.answer(
                 order, "unanswered", NO_REPLY_TIMEOUT_S + getattr(order, "wait_s", 0.0)
             )
