--- a/hawthorntrack/experiment/model_target.py
+++ b/hawthorntrack/experiment/model_target.py
@@ -30,6 +30,17 @@
 STOP_DURATION_S = 0.02
 HEARTBEAT_INTERVAL_S = 1.5
 MAX_LISTED_ENDS = 500
+# Bounds of the time by which an order that gets no answer is executed late.
+MIN_LATE_S = 2.0
+MAX_LATE_S = 6.0
+
+
+def extended_by(order: Any, delay_s: float) -> Any:
+    """Return an order with the end of the lease that it grants moved by a delay."""
+    lease_end_ms = getattr(order, "lease_end_ms", None)
+    if lease_end_ms is None:
+        return order
+    return order._replace(lease_end_ms=lease_end_ms + round(delay_s * 1000))
 
 
 class ModelRun:
@@ -69,8 +80,9 @@
     fault : str
         ``""``, ``errors`` (runs fail), ``hang`` (runs make no progress), ``shed``
         (starts are refused), ``mute`` (orders are dropped without a reply), ``late``
-        (a share of the orders is executed seconds later) or ``lost`` (a share of the
-        starts succeeds, but the reply is lost).
+        (a share of the orders is executed seconds later), ``late_grants`` (the same,
+        and the lease time that they grant counts from their execution) or ``lost`` (a
+        share of the starts succeeds, but the reply is lost).
     call_s : float
         Time that the target works on one call, in seconds; 0.0 for unlimited calls at
         a time. Calls queue, and those that the guard has given up stay in the queue.
@@ -142,8 +154,13 @@
         if self.fault == "mute":
             self.answer(order, "unanswered", self.time_limit_s(order))
             return
-        if self.fault == "late" and self.rng.random() < self.fault_share:
-            self.call_later(self.rng.uniform(2, 6), self.execute, order, False)
+        late = self.fault in ("late", "late_grants")
+        if late and self.rng.random() < self.fault_share:
+            delay_s = self.rng.uniform(MIN_LATE_S, MAX_LATE_S)
+            executed = order
+            if self.fault == "late_grants":
+                executed = extended_by(order, delay_s)
+            self.call_later(delay_s, self.execute, executed, False)
             self.answer(order, "unanswered", self.time_limit_s(order))
             return
         if self.call_s:
--- a/hawthorntrack/state/node_settings.py
+++ b/hawthorntrack/state/node_settings.py
@@ -138,11 +138,7 @@
         owner lease alive.
     """
     given = DeploymentTimes(
-        **{
-            name: body[name]
-            for name in DeploymentTimes._fields
-            if body.get(name)
-        }
+        **{name: body[name] for name in DeploymentTimes._fields if body.get(name)}
     )
     least_ms = min_caller_retry_ms(given.stop_ms)
     if given.caller_retry_ms < least_ms:
