Record a job that runs twice after a break that its instance does not notice

The caller's connection is reset, the instance does not learn of it and reaches all guards; 1.3 s later another instance gets the job. Both run it, at different guards, until the caller's deadline or the end of the tasks:

A guard defers an order for a task that still runs there; nothing compares orders at different guards.

--- a/hawthorntrack/experiment/tests/test_resubmission.py
+++ b/hawthorntrack/experiment/tests/test_resubmission.py
@@ -39,6 +39,11 @@
     await asyncio.sleep(RUNNING_BEFORE_BREAK_S)
 
 
+@breaks.register("unnoticed")
+async def reset_unnoticed(model, reply):
+    """Leave the connection open at the instance, which still reaches all guards."""
+
+
 @breaks.register("killed")
 async def kill_instance(model, reply):
     """Kill the instance; its connections are reset."""
