--- /dev/null
+++ b/hawthorntrack/transport/tests/test_http_server.py
@@ -0,0 +1,44 @@
+"""Tests of the HTTP server's connections."""
+
+import asyncio
+import socket
+
+import aiohttp
+from aiohttp import web
+
+from hawthorntrack.transport.http_server import HttpServer
+
+# Specified time from a broken connection to the caller's next attempt.
+CALLER_RETRY_S = 1.3
+# A run's lease is not renewed, and the run is stopped, within this time.
+STOP_RUNS_S = 0.2
+
+
+def test_caller_whose_reset_got_lost_is_noticed_before_it_submits_its_job_elsewhere():
+    """The kernel probes the idle connection; the caller's answers that it is closed."""
+    options = {}
+
+    async def record_options(request):
+        sock = request.transport.get_extra_info("socket")
+        options["enabled"] = sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+        for name in ("TCP_KEEPIDLE", "TCP_KEEPINTVL"):
+            option = getattr(socket, name)
+            options[name] = sock.getsockopt(socket.IPPROTO_TCP, option)
+        return web.Response()
+
+    async def serve_one_request():
+        server = HttpServer("127.0.0.1:0", record_options)
+        await server.start()
+        host, port = server.runner.addresses[0][:2]
+        try:
+            async with (
+                aiohttp.ClientSession() as client,
+                client.post(f"http://{host}:{port}/") as response,
+            ):
+                await response.read()
+        finally:
+            await server.stop()
+
+    asyncio.run(serve_one_request())
+    assert options.pop("enabled")
+    assert all(seconds + STOP_RUNS_S < CALLER_RETRY_S for seconds in options.values())
