--- a/hawthorntrack/transport/http_server.py
+++ b/hawthorntrack/transport/http_server.py
@@ -11,6 +11,9 @@
 KEEPALIVE_S = 75.0
 BACKLOG = 512
 SHUTDOWN_TIMEOUT_S = 0.5
+# An idle connection is probed at this interval, the kernel's shortest. A client whose
+# reset got lost answers the first probe with another one.
+PROBE_INTERVAL_S = 1
 
 # The first fields of `struct tcp_info`: eight of one byte, the first of which is the
 # state, and twelve of four bytes, the last of which is the time since data arrived.
@@ -66,7 +69,8 @@
         ``host:port`` to listen on.
     handler : callable
         Coroutine function that answers each request. It is cancelled when the
-        client closes the connection.
+        client closes the connection, at most `PROBE_INTERVAL_S` later if the closing
+        got lost on the way.
     """
 
     def __init__(self, address: str, handler: Handler) -> None:
@@ -85,7 +89,12 @@
         )
         self.runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await self.runner.setup()
-        await web.TCPSite(self.runner, host, int(port), backlog=BACKLOG).start()
+        listener = socket.create_server((host, int(port)), backlog=BACKLOG)
+        # Accepted connections inherit the options.
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        for option in (socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL):
+            listener.setsockopt(socket.IPPROTO_TCP, option, PROBE_INTERVAL_S)
+        await web.SockSite(self.runner, listener, backlog=BACKLOG).start()
 
     async def stop(self) -> None:
         """Close the socket; open requests get `SHUTDOWN_TIMEOUT_S` to finish."""
