Follow the joined interfaces in two new test files

The tests of resubmitted jobs and of late starts came in beside the arrival time in SubmitPlan and the time limit that each order carries.

--- a/hawthorntrack/experiment/tests/test_late_starts.py
+++ b/hawthorntrack/experiment/tests/test_late_starts.py
@@ -9,7 +9,6 @@
     ModelSite,
     in_simulated_time,
 )
-from hawthorntrack.experiment.model_target import NO_REPLY_TIMEOUT_S
 from hawthorntrack.protocol.job_requests import SubmitPlan
 from hawthorntrack.protocol.target_messages import StartOrder
 from hawthorntrack.state.plans import JobPlan, StepSpec
@@ -59,9 +58,7 @@
         if self.state == "silent":
             self.target.execute(order, awaited=False)
         outcome = "unreachable" if self.state == "down" else "unanswered"
-        self.target.answer(
-            order, outcome, NO_REPLY_TIMEOUT_S + getattr(order, "wait_s", 0.0)
-        )
+        self.target.answer(order, outcome, self.target.time_limit_s(order))
 
     def crash(self):
         """End the target; orders that wait for its answer get none."""
@@ -94,7 +91,9 @@
     crashing = [CrashingTarget(target) for target in model.targets]
     reply = asyncio.get_running_loop().create_future()
     path = f"/reroute/{plan.key}"
-    order = SubmitPlan("calls.example", path, plan, "", DEADLINE_S, reply)
+    order = SubmitPlan(
+        "calls.example", path, plan, "", model.clock(), DEADLINE_S, reply
+    )
     model.entries[0].receive(CALLER, order)
     await asyncio.sleep(RUNNING_BEFORE_CRASH_S)
     (first,) = [item for item in crashing if item.start is not None]
--- a/hawthorntrack/experiment/tests/test_resubmission.py
+++ b/hawthorntrack/experiment/tests/test_resubmission.py
@@ -96,7 +96,9 @@
     """Submit a job to an entry instance; return the future of its verdict."""
     reply = asyncio.get_running_loop().create_future()
     path = f"/reroute/{plan.key}"
-    order = SubmitPlan("calls.example", path, plan, "", deadline_s, reply)
+    order = SubmitPlan(
+        "calls.example", path, plan, "", model.clock(), deadline_s, reply
+    )
     instance.receive(CALLER, order)
     return reply
 
