Listen on IPv6 addresses again

An entry instance, a guard or a metrics server whose address is an IPv6 one ended at its start: "Address family for hostname not supported (while attempting to bind on address ('::1', 0))". The listening socket that sets the keep-alive probes was created for IPv4 only. The family follows from the address now, and brackets are removed, which the settings allow as well.

The test failed for both forms of IPv6 address and passes now.

--- a/hawthorntrack/transport/http_server.py
+++ b/hawthorntrack/transport/http_server.py
@@ -89,7 +89,11 @@
         )
         self.runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await self.runner.setup()
-        listener = socket.create_server((host, int(port)), backlog=BACKLOG)
+        listener = socket.create_server(
+            (host.strip("[]"), int(port)),
+            family=socket.AF_INET6 if ":" in host else socket.AF_INET,
+            backlog=BACKLOG,
+        )
         # Accepted connections inherit the options.
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
         for option in (socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL):
--- a/hawthorntrack/transport/tests/test_http_server.py
+++ b/hawthorntrack/transport/tests/test_http_server.py
@@ -4,6 +4,7 @@
 import socket
 
 import aiohttp
+import pytest
 from aiohttp import web
 
 from hawthorntrack.transport.http_server import HttpServer
@@ -42,3 +43,18 @@
     asyncio.run(serve_one_request())
     assert options.pop("enabled")
     assert all(seconds + STOP_RUNS_S < CALLER_RETRY_S for seconds in options.values())
+
+
+@pytest.mark.parametrize("address", ["127.0.0.1:0", "::1:0", "[::1]:0"])
+def test_server_listens_on_each_form_of_address_that_the_settings_allow(address):
+    """An address of the other family ended the process at its start."""
+
+    async def listen():
+        server = HttpServer(address, None)
+        await server.start()
+        try:
+            return server.runner.addresses[0][0]
+        finally:
+            await server.stop()
+
+    assert asyncio.run(listen()) == address.rpartition(":")[0].strip("[]")
