Confirm each regular heartbeat, whatever was confirmed since the one before

A request for capacity updates confirms leases by a heartbeat that may be 0.2 s old. The next heartbeat then came within MIN_LEASE_CONFIRM_INTERVAL_S of that confirmation and was not confirmed, so two intervals lay between the timestamps of two confirmations. An owner lease of two intervals, the shortest that caller_retry_ms allows, ends then with all runs of the owner at that guard, without any fault. The interval is measured between the heartbeats that leases are confirmed by.

The test failed before ("not enough values to unpack (expected 1, got 0)") and passes now.

--- a/hawthorntrack/coordination/guard_peer.py
+++ b/hawthorntrack/coordination/guard_peer.py
@@ -43,8 +43,8 @@
     refused_clock_ms : int
         Timestamp with which the guard refuses all orders; -1 if there is none.
     lease_confirmed_at : float
-        Time at which the leases of the runs at the guard were last confirmed, in
-        seconds.
+        Arrival time of the heartbeat on which the leases of the runs at the guard were
+        last confirmed, in seconds.
     lease_confirmed_stamp : int
         The stamp of the directives sent with that confirmation; -1 before the first.
     incarnation_heard_at : float
--- a/hawthorntrack/coordination/run_placement.py
+++ b/hawthorntrack/coordination/run_placement.py
@@ -325,7 +325,7 @@
             self.needs_capacity_updates,
         )
         peer.lease_confirmed_at, peer.lease_confirmed_stamp = (
-            self.clock(),
+            peer.heartbeat_at,
             confirmation.store_version,
         )
         self.send(peer.address, confirmation)
--- a/hawthorntrack/coordination/tests/test_dispatcher.py
+++ b/hawthorntrack/coordination/tests/test_dispatcher.py
@@ -40,7 +40,11 @@
 from hawthorntrack.state.actor import Delivery
 from hawthorntrack.state.catalogue import Catalogue, Queue
 from hawthorntrack.state.directives import Directives
-from hawthorntrack.state.lease_times import DeploymentTimes, derive_lease_times
+from hawthorntrack.state.lease_times import (
+    GUARD_HEARTBEAT_INTERVAL_S,
+    DeploymentTimes,
+    derive_lease_times,
+)
 from hawthorntrack.state.mailbox import Mailbox, Tick
 from hawthorntrack.state.plans import JobPlan, StepSpec
 from hawthorntrack.state.resources import Resources
@@ -768,6 +772,19 @@
     assert len(entry.take_messages(ConfirmLease)) == 1
 
 
+def test_request_for_capacity_updates_takes_no_heartbeats_confirmation_away(entry):
+    """The shortest owner lease lasts for two heartbeats, and would end without it."""
+    entry.set_directives()
+    entry.connect_guard(GUARD_1)
+    entry.advance(GUARD_HEARTBEAT_INTERVAL_S - 0.02)
+    entry.dispatcher.request_capacity_updates(True)
+    entry.time += 0.02
+    entry.take_messages(ConfirmLease)
+    entry.send_heartbeat(GUARD_1)
+    ((_, confirmation),) = entry.take_messages(ConfirmLease)
+    assert confirmation.guard_clock_ms == round(entry.time * 1000)
+
+
 def test_draining_entry_takes_what_still_ends_in_time(placed_job):
     """Load pattern: rolling restarts with callers that keep their connections."""
     entry, _, _ = placed_job
