Test that a start in flight is fenced once its run counts as lapsed

An order that got no answer raises the token when its time limit has passed. That limit is up to 0.2 s, and a run counts as lapsed 0.1 s after its lease, so a start may still be in flight then: it was sent under a lease that an unconfirmed stop keeps from being extended. Only the token that is taken in expire_silent_session fences it. Without that line, no other test failed, and this one did ("assert False" for the tokens of the renewals).

--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -5,7 +5,7 @@
 import pytest
 
 from hawthorntrack.coordination import leases
-from hawthorntrack.coordination.answer_times import MAX_ORDER_TIMEOUT_S
+from hawthorntrack.coordination.answer_times import MAX_ORDER_TIMEOUT_S, AnswerTimes
 from hawthorntrack.coordination.leaseholder import LeaseHolder, ReportCapacity
 from hawthorntrack.coordination.leases import (
     MAX_CLOCK_DRIFT_FACTOR,
@@ -416,6 +416,27 @@
     assert all(order.token > start.token for order in orders)
 
 
+def test_start_without_an_answer_yet_is_fenced_once_its_run_counts_as_lapsed(running):
+    """A slow target has longer to answer than its runs have to stop."""
+    guard, name = running
+    session = guard.holder.current_session()
+    session.answer_times = AnswerTimes(mean_s=MAX_ORDER_TIMEOUT_S)
+    guard.deliver(StopRuns((name,)), ENTRY)
+    guard.answer_renewals(outcome="unanswered")
+    guard.time = session.lease_end - 0.01
+    guard.order_runs(job="b" * 16)
+    (start,) = guard.take_orders(StartOrder)
+    guard.take_orders(RenewLeaseOrder)
+    session.pending_renewal = None
+    guard.wait(MAX_STOP_DURATION_S + 0.02)
+    (ended,) = guard.take_messages(RunsEnded)
+    assert "b" * 16 in [ending.name.task.job for ending in ended.endings]
+    assert guard.time < start.sent_at + start.timeout_s
+    renewals = guard.take_orders(RenewLeaseOrder)
+    assert renewals
+    assert all(order.token > start.token for order in renewals)
+
+
 def test_unreadable_heartbeat_changes_nothing(running):
     guard, _ = running
     guard.deliver(TargetHeartbeat("no state"))
