Request a run list again that a later order overtook

The token is raised after each order without an answer, so a run list that was requested before may be refused as fenced. While a long poll was pending, it was not requested again, and the end of a stopped run, or the fate of a start without an answer, was seen only by the renewal after that long poll. A fenced list is requested again now.

The test failed before ("not enough values to unpack (expected 1, got 0)") and passes now.

--- a/hawthorntrack/coordination/run_reconciler.py
+++ b/hawthorntrack/coordination/run_reconciler.py
@@ -303,6 +303,7 @@
             session.pending_renewal = None
         if reply.order is session.pending_list:
             session.pending_list = None
+            session.list_wanted |= reply.outcome == "fenced"
         if reply.outcome == "held" and self.is_other_incarnation(session, reply):
             incarnation = session.state.incarnation._replace(born_ms=reply.born_ms)
             self.begin_incarnation(
--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -1875,3 +1875,20 @@
     guard.deliver(RenewLeaseReply(lists[0], "unanswered"))
     (following,) = guard.take_orders(RenewLeaseOrder)
     assert following.sent_at > sent_at
+
+
+def test_list_that_a_later_order_overtook_is_requested_again(running):
+    """Otherwise the end of a stopped run is seen only after the next long poll."""
+    guard, name = running
+    guard.deliver(StopRuns((name,)), ENTRY)
+    (stop,) = guard.take_orders(StopOrder)
+    guard.time += 0.01
+    guard.deliver(StopReply(stop, "stopped", guard.target_clock_ms()))
+    _, overtaken = guard.take_orders(RenewLeaseOrder)
+    guard.order_runs(job="b" * 16)
+    guard.answer_starts("unanswered")
+    guard.take_orders(StartOrder)
+    guard.time += 0.01
+    guard.deliver(RenewLeaseReply(overtaken, "fenced", guard.target_clock_ms()))
+    (again,) = guard.take_orders(RenewLeaseOrder)
+    assert (again.wait_s, again.token > overtaken.token) == (0.0, True)
