Take submissions where the kernel does not describe connections

Where the socket option is not available, each caller would have counted as gone, and no job would have been taken (found in review, by reading). The event loop's own knowledge decides then. The new test failed before: it got ConnectionState(is_open=False, silence_s=0.0). The docstring also says now that the time since data arrived leaves out a suspension of the machine.

--- a/hawthorntrack/transport/http_server.py
+++ b/hawthorntrack/transport/http_server.py
@@ -31,7 +31,8 @@
     is_open : bool
         Whether the client has neither closed nor reset the connection.
     silence_s : float
-        Time since data last arrived from the client, in seconds.
+        Time since data last arrived from the client, in seconds, without time for which
+        the machine was suspended.
     """
 
     is_open: bool
@@ -55,7 +56,7 @@
             socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_FIELDS.size
         )
     except OSError:
-        return ConnectionState(False, 0.0)
+        return ConnectionState(not request.transport.is_closing(), 0.0)
     state, *_, silence_ms = TCP_INFO_FIELDS.unpack(info)
     return ConnectionState(state == TCP_ESTABLISHED, silence_ms / 1000)
 
--- a/hawthorntrack/transport/tests/test_http_server.py
+++ b/hawthorntrack/transport/tests/test_http_server.py
@@ -7,7 +7,11 @@
 import pytest
 from aiohttp import web
 
-from hawthorntrack.transport.http_server import HttpServer
+from hawthorntrack.transport.http_server import (
+    ConnectionState,
+    HttpServer,
+    connection_state,
+)
 
 # Specified time from a broken connection to the caller's next attempt.
 CALLER_RETRY_S = 1.3
@@ -58,3 +62,24 @@
             await server.stop()
 
     assert asyncio.run(listen()) == address.rpartition(":")[0].strip("[]")
+
+
+@pytest.mark.parametrize("closing", [False, True])
+def test_request_is_not_dropped_where_the_kernel_does_not_describe_connections(closing):
+    """Every caller would count as gone."""
+
+    class UnknownOption:
+        def getsockopt(self, *args):
+            raise OSError("Protocol not available")
+
+    class Transport:
+        def get_extra_info(self, name):
+            return UnknownOption()
+
+        def is_closing(self):
+            return closing
+
+    class Request:
+        transport = Transport()
+
+    assert connection_state(Request()) == ConnectionState(not closing, 0.0)
