--- a/hawthorntrack/coordination/answer_times.py
+++ b/hawthorntrack/coordination/answer_times.py
@@ -9,7 +9,7 @@
 
 from hawthorntrack.protocol.target_messages import ORDER_TIMEOUT_S
 
-# Two calls in turn that get no answer still leave half of a target lease (0.75 s).
+# A renewal without an answer, its long poll included, takes 0.4 s of a target lease.
 MAX_ORDER_TIMEOUT_S = 0.2
 # Weights of the newest answer time and factor on the deviation, from TCP (RFC 6298).
 MEAN_WEIGHT = 0.125
