--- a/hawthorntrack/coordination/run_controller.py
+++ b/hawthorntrack/coordination/run_controller.py
@@ -270,7 +270,7 @@
         run.phase = STARTING
         lease_end_ms = self.granted_lease_ms(session, now)
         if not run.unanswered_retries:
-            session.repeats.add_tokens(TARGET_BUDGET_RATIO)
+            session.repeat_budget.add_tokens(TARGET_BUDGET_RATIO)
         if session.lease_end <= now:
             # Runs without a confirmed stop prevent a new lease and occupy capacity.
             self.on_no_room(session, run)
@@ -430,7 +430,7 @@
         session.lost_answer_at = self.clock()
         self.log_start_retry(session, run, "start_unanswered")
         may_repeat = run.unanswered_retries < MAX_UNANSWERED_START_RETRIES
-        if may_repeat and session.repeats.take(self.clock()):
+        if may_repeat and session.repeat_budget.take(self.clock()):
             run.unanswered_retries += 1
             self.send_start(session, run)
             return
--- a/hawthorntrack/coordination/run_reconciler.py
+++ b/hawthorntrack/coordination/run_reconciler.py
@@ -202,9 +202,9 @@
         long_poll = session.unknown_runs or (session.runs and session.verified)
         wait_s = RENEWAL_LONG_POLL_S if long_poll else 0.0
         session.pending_renewal = self.send_renewal(session, lease_end_ms, wait_s)
-        session.repeats.add_tokens(TARGET_BUDGET_RATIO)
+        session.repeat_budget.add_tokens(TARGET_BUDGET_RATIO)
         answers_lost = now < session.lost_answer_at + DUPLICATE_RENEWALS_S
-        if long_poll and answers_lost and session.repeats.take(now):
+        if long_poll and answers_lost and session.repeat_budget.take(now):
             # If one answer is lost, the other one still reports the end of a run.
             self.send_renewal(session, lease_end_ms, wait_s)
 
@@ -243,7 +243,7 @@
         now = self.clock()
         if session.pending_renewal is None:
             self.renew_lease(session)
-        elif session.pending_list is not None and not session.repeats.take(now):
+        elif session.pending_list is not None and not session.repeat_budget.take(now):
             session.list_wanted = True
         else:
             lease_end_ms = self.renewal_lease_ms(session, now)
--- a/hawthorntrack/coordination/target_session.py
+++ b/hawthorntrack/coordination/target_session.py
@@ -126,7 +126,7 @@
         When an order last went without an answer.
     answer_times : AnswerTimes
         How fast the target answers.
-    repeats : TokenBucket
+    repeat_budget : TokenBucket
         Budget for repeated calls.
     pending_list : RenewLeaseOrder or None
         The newest request for the run lists, besides `pending_renewal`, that is not
@@ -160,7 +160,7 @@
         self.failures = 0
         self.lost_answer_at = -math.inf
         self.answer_times = AnswerTimes()
-        self.repeats = new_target_budget()
+        self.repeat_budget = new_target_budget()
         self.pending_list: RenewLeaseOrder | None = None
         self.list_wanted = False
         self.retry_at = 0.0
--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -1795,7 +1795,7 @@
 
 def exhaust_repeats(guard):
     """Take all of the budget for repeated calls to the target."""
-    repeats = guard.holder.current_session().repeats
+    repeats = guard.holder.current_session().repeat_budget
     while repeats.take(guard.time):
         pass
 
