--- a/hawthorntrack/platform/tests/test_departed_callers.py
+++ b/hawthorntrack/platform/tests/test_departed_callers.py
@@ -95,6 +95,15 @@
             await asyncio.sleep(0.001)
         raise AssertionError("the condition did not come about")
 
+    def jobs_started(self):
+        """Return the keys of the jobs of which runs were started."""
+        return {
+            order.name.task.job
+            for body in self.sent
+            if isinstance(body, StartRuns)
+            for order in body.runs
+        }
+
     def kinds_sent(self):
         return [type(body) for body in self.sent]
 
@@ -201,13 +210,7 @@
         callers[1].close()
 
     play(scenario)
-    started = {
-        order.name.task.job
-        for body in entry.sent
-        if isinstance(body, StartRuns)
-        for order in body.runs
-    }
-    assert started == {"b" * 16}
+    assert entry.jobs_started() == {"b" * 16}
 
 
 def test_submissions_of_callers_that_left_in_a_pause_are_not_started(entry, play):
@@ -224,10 +227,4 @@
         callers[-1].close()
 
     play(scenario)
-    started = {
-        order.name.task.job
-        for body in entry.sent
-        if isinstance(body, StartRuns)
-        for order in body.runs
-    }
-    assert started == {f"{19:016x}"}
+    assert entry.jobs_started() == {f"{19:016x}"}
