Keep one link between peers that connect to each other

Cause: a process dialled a peer although the peer's own link was up, and each new link closes the older one. Two processes that dial each other (seeds dialled while the store is away, members dialled later) closed each other's link every 50 ms, and each closing shortens the leases of the runs there.

Change: a link is not dialled while one is up; DialOnce opens a link that is not maintained. A message that goes to several peers is encoded once.

--- a/hawthorntrack/protocol/links.py
+++ b/hawthorntrack/protocol/links.py
@@ -16,6 +16,12 @@
     address: str
 
 
+class DialOnce(NamedTuple):
+    """Connect to the peer that listens at `address`, unless a link to it is up."""
+
+    address: str
+
+
 class CloseLink(NamedTuple):
     """Close the link to a peer; a link that this process dialled is opened again."""
 
--- a/hawthorntrack/transport/streams.py
+++ b/hawthorntrack/transport/streams.py
@@ -12,6 +12,7 @@
 from hawthorntrack.protocol.codec import BadMessage, Codec
 from hawthorntrack.protocol.links import (
     CloseLink,
+    DialOnce,
     LinkDown,
     LinkUp,
     MaintainLink,
@@ -165,6 +166,8 @@
         self.links: dict[str, Link] = {}
         self.open_links: set[Link] = set()
         self.dial_tasks: dict[str, asyncio.Task[None]] = {}
+        self.single_dials: set[str] = set()
+        self.last_encoded: tuple[Any, int, bytes] = (None, 0, b"")
         self.server: asyncio.Server | None = None
 
     def new_link(self) -> Link:
@@ -176,9 +179,17 @@
         self.open_links.add(link)
         self.write(link, self.hello)
 
+    def encode(self, body: Any) -> bytes:
+        """Return a message's encoding; one sent to several peers is encoded once."""
+        last_body, last_stamp, data = self.last_encoded
+        if body is not last_body or self.stamp != last_stamp:
+            data = self.codec.encode(Envelope(self.me, self.stamp, body))
+            self.last_encoded = (body, self.stamp, data)
+        return data
+
     def write(self, link: Link, body: Any) -> None:
         """Encode and count a message, and send it on a link."""
-        data = self.codec.encode(Envelope(self.me, self.stamp, body))
+        data = self.encode(body)
         labelled(MESSAGES, "out", exposed_name(type(body))).inc()
         labelled(MESSAGE_BYTES, "out").inc(len(data))
         link.write(data)
@@ -233,19 +244,34 @@
 
     @handles(MaintainLink)
     def on_maintain_link(self, order: MaintainLink, sender: Incarnation) -> None:
-        """Start maintaining a link to a peer; count and log an invalid address."""
-        if order.address in self.dial_tasks or order.address == self.me.address:
+        """Start maintaining a link to a peer."""
+        if order.address in self.dial_tasks or not self.can_dial(order.address):
             return
+        task = asyncio.get_running_loop().create_task(self.maintain_link(order.address))
+        self.dial_tasks[order.address] = task
+        self.spawned.add(task)
+        task.add_done_callback(self.on_spawned_done)
+
+    @handles(DialOnce)
+    def on_dial_once(self, order: DialOnce, sender: Incarnation) -> None:
+        """Connect to a peer, unless it is connected or being connected to."""
+        address = order.address
+        under_way = self.links.keys() | self.dial_tasks.keys() | self.single_dials
+        if address not in under_way and self.can_dial(address):
+            self.single_dials.add(address)
+            self.spawn(self.dial_once(address))
+
+    def can_dial(self, address: str) -> bool:
+        """Return whether an address is another peer's; count and log an invalid one."""
+        if address == self.me.address:
+            return False
         try:
-            host, port = split_address(order.address)
+            split_address(address)
         except ValueError as error:
             labelled(BAD_INPUT, "link", "address").inc()
             log_event("link:no_address", problem=str(error))
-            return
-        task = asyncio.get_running_loop().create_task(self.maintain_link(host, port))
-        self.dial_tasks[order.address] = task
-        self.spawned.add(task)
-        task.add_done_callback(self.on_spawned_done)
+            return False
+        return True
 
     @handles(CloseLink)
     def on_close_link(self, order: CloseLink, sender: Incarnation) -> None:
@@ -262,15 +288,34 @@
             task.cancel()
         self.on_close_link(CloseLink(order.address), sender)
 
-    async def maintain_link(self, host: str, port: int) -> None:
-        """Connect to a peer, again after each failure or disconnection."""
+    async def dial(self, address: str) -> Link | None:
+        """Connect to a peer; return the link, or None if there is no connection."""
+        host, port = split_address(address)
         loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, link = await loop.create_connection(self.new_link, host, port)
+        except (OSError, TimeoutError):
+            return None
+        return link
+
+    async def dial_once(self, address: str) -> None:
+        """Connect to a peer once."""
+        await self.dial(address)
+        self.single_dials.discard(address)
+
+    async def maintain_link(self, address: str) -> None:
+        """Connect to a peer, again after each failure or disconnection.
+
+        Explanation
+        -----------
+        A link that the peer has opened is used as long as it is up. If both kept
+        opening links, each new one would replace the other's.
+        """
         backoff_s = REDIAL_BACKOFF_MIN_S
         while True:
-            try:
-                async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                    _, link = await loop.create_connection(self.new_link, host, port)
-            except (OSError, TimeoutError):
+            link = self.links.get(address) or await self.dial(address)
+            if link is None:
                 backoff_s = min(REDIAL_BACKOFF_MAX_S, backoff_s * 2)
             else:
                 backoff_s = REDIAL_BACKOFF_MIN_S
--- a/hawthorntrack/transport/tests/test_streams.py
+++ b/hawthorntrack/transport/tests/test_streams.py
@@ -7,11 +7,13 @@
 from hawthorntrack.protocol.codec import codecs
 from hawthorntrack.protocol.links import (
     CloseLink,
+    DialOnce,
     LinkDown,
     LinkUp,
     MaintainLink,
     RemovePeer,
     Send,
+    StampChanged,
 )
 from hawthorntrack.protocol.run_messages import CancelJobRuns, Hello
 from hawthorntrack.state.mailbox import Mailbox
@@ -102,6 +104,72 @@
     with_peers(scenario)
 
 
+def test_two_peers_that_connect_to_each_other_keep_one_link(with_peers):
+    """Guards connect to seeds while the store is away; the seeds connect to guards."""
+
+    async def scenario(one, two):
+        await wait_for_hello(one)
+        await wait_for_hello(two)
+        two.bus.mailbox.put(MaintainLink(one.bus.me.address))
+        await asyncio.sleep(0.5)
+        assert one.link_events.queue.empty()
+        assert two.link_events.queue.empty()
+
+    with_peers(scenario)
+
+
+def test_single_dial_of_a_linked_peer_opens_no_second_link(with_peers):
+    async def scenario(one, two):
+        await wait_for_hello(one)
+        await wait_for_hello(two)
+        two.bus.mailbox.put(DialOnce(one.bus.me.address))
+        await asyncio.sleep(0.2)
+        assert len(two.bus.open_links) == 1
+
+    with_peers(scenario)
+
+
+def test_single_dial_is_not_repeated(with_peers):
+    async def scenario(one, two):
+        await wait_for_hello(one)
+        one.bus.mailbox.put(RemovePeer(two.bus.me.address))
+        assert isinstance(await one.link_events.get(), LinkDown)
+        one.bus.mailbox.put(DialOnce(two.bus.me.address))
+        await wait_for_hello(one)
+        one.bus.mailbox.put(CloseLink(two.bus.me.address))
+        assert isinstance(await one.link_events.get(), LinkDown)
+        await asyncio.sleep(0.3)
+        assert one.link_events.queue.empty()
+
+    with_peers(scenario)
+
+
+def test_message_to_several_peers_is_encoded_once_and_with_the_present_stamp(
+    with_peers, monkeypatch
+):
+    async def scenario(one, two):
+        await wait_for_hello(one)
+        message, address = CancelJobRuns("k"), two.bus.me.address
+        await wait_for_hello(two)
+        encoded = []
+        encode = one.bus.codec.encode
+        monkeypatch.setattr(
+            one.bus.codec, "encode", lambda e: encoded.append(e) or encode(e)
+        )
+        for order in (
+            Send(address, message),
+            Send(address, message),
+            StampChanged(9),
+            Send(address, message),
+        ):
+            one.bus.mailbox.put(order)
+        received = [await two.received.get() for _ in range(3)]
+        assert [envelope.stamp for envelope in received] == [0, 0, 9]
+        assert len(encoded) == 2
+
+    with_peers(scenario)
+
+
 def test_removed_peer_is_not_connected_to_again(with_peers):
     async def scenario(one, two):
         await wait_for_hello(one)
