--- a/hawthorntrack/coordination/dispatcher.py
+++ b/hawthorntrack/coordination/dispatcher.py
@@ -2,7 +2,7 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Iterable
-from itertools import takewhile
+from itertools import chain, takewhile
 from typing import Any, NamedTuple
 
 from hawthorntrack.coordination.guard_peer import LINK_TIMEOUT_S
@@ -14,6 +14,7 @@
 )
 from hawthorntrack.coordination.run_placement import RunPlacement
 from hawthorntrack.coordination.target_selection import is_feasible
+from hawthorntrack.coordination.working_set import WorkingSet
 from hawthorntrack.protocol.job_requests import (
     CallerDisconnected,
     CancelPlan,
@@ -22,7 +23,6 @@
     GetPlanState,
     SubmitPlan,
 )
-from hawthorntrack.protocol.links import CloseLink
 from hawthorntrack.protocol.local import Drain, DrainCompleted, DrainDeadlinePassed
 from hawthorntrack.protocol.run_messages import (
     CancelJobRuns,
@@ -40,6 +40,7 @@
     labelled,
 )
 from hawthorntrack.state.naming import exposed_name
+from hawthorntrack.state.node_settings import MAX_GUARD_LINKS
 from hawthorntrack.state.outcomes import resolve
 from hawthorntrack.state.plans import RunName
 from hawthorntrack.state.values import Incarnation
@@ -121,6 +122,10 @@
         jobs still open.
     lease_times : LeaseTimes
         Durations of leases.
+    address : str
+        Address of this instance, which decides with others which guards it uses.
+    max_guard_links : int
+        Largest number of guards that this instance keeps links to.
     """
 
     def __init__(
@@ -134,9 +139,11 @@
         clock: Clock,
         drain_s: float,
         lease_times: LeaseTimes,
+        address: str = "",
+        max_guard_links: int = MAX_GUARD_LINKS,
     ) -> None:
-        super().__init__(zone, far_factor, send, clock, lease_times)
-        self.links = links
+        working_set = WorkingSet(address, zone, max_guard_links)
+        super().__init__(zone, far_factor, send, links, clock, lease_times, working_set)
         self.drained = drained
         self.on_ready = on_ready
         self.index = QueueIndex(self.directives.catalogue)
@@ -259,7 +266,7 @@
             objective_ms=round(job.objective * 1000),
             config=self.directives.catalogue.version,
         )
-        self.placement_pending = True
+        self.queue_job(job)
 
     def check_admission(
         self, submission: SubmitPlan, queue: Queue, now: float
@@ -282,12 +289,21 @@
             # Targets are announced within two heartbeats of a guard's start.
             starting = now < self.began_at + STARTUP_GRACE_S
             return None if starting else Refused("no_target", 1)
-        if not all(
-            any(is_feasible(status, step) for status in statuses)
+        unsuitable = [
+            step
             for step in submission.plan.steps
+            if not any(is_feasible(status, step) for status in statuses)
+        ]
+        if not unsuitable:
+            return None
+        labels = frozenset(chain.from_iterable(status.labels for status in statuses))
+        if len(self.peers) < len(self.working_set.guards) and any(
+            step.label and step.label not in labels for step in unsuitable
         ):
-            return JobFailed("no_target_is_large_enough")
-        return None
+            # Other targets may have the label, so the job is not failed for good.
+            self.working_set.note_shortage()
+            return Refused("label_not_linked", 1)
+        return JobFailed("no_target_is_large_enough")
 
     def can_finish_during_drain(
         self, submission: SubmitPlan, queue: Queue, now: float
@@ -334,8 +350,9 @@
 
     @handles(CancelPlan)
     def on_cancel_plan(self, request: CancelPlan, sender: Incarnation) -> None:
-        """Cancel a job here and ask all guards to stop its runs."""
-        for address in self.peers:
+        """Cancel a job here, and ask guards and other entry instances to stop it."""
+        other_entries = self.working_set.entries - {self.working_set.owner}
+        for address in (*self.peers, *sorted(other_entries)):
             self.send(address, CancelJobRuns(request.key))
         job = self.jobs.get(request.key)
         if job is None:
@@ -344,6 +361,18 @@
         self.end_job(job, Abandoned("cancelled"))
         resolve(request.reply, JobState("cancelled"))
 
+    @handles(CancelJobRuns)
+    def on_cancel_job_runs(self, order: CancelJobRuns, sender: Incarnation) -> None:
+        """Cancel a job here that a caller cancelled at another entry instance.
+
+        Explanation
+        -----------
+        The other instance may not be linked to the guards that have the job's runs.
+        """
+        job = self.jobs.get(order.job)
+        if job is not None:
+            self.end_job(job, Abandoned("cancelled"))
+
     @handles(GetPlanState)
     def on_get_plan_state(self, request: GetPlanState, sender: Incarnation) -> None:
         """Answer with the state of a job that is open here."""
@@ -403,7 +432,8 @@
             stopped=sum(map(len, stops.values())),
             **({} if name == "completed" else self.answer_log_fields(job, now)),
         )
-        self.placement_pending = True
+        for address in stops:
+            self.place_if_useful(self.peers[address])
         self.report_drained()
 
     def end_unawaited_jobs(self, jobs: Iterable[Job]) -> None:
@@ -473,11 +503,8 @@
                 self.end_job(job, self.overload_refusal(job))
             elif job.process_suspended and job.waiting():
                 self.end_job(job, Abandoned("stood_still"))
+        self.close_silent_links(now)
         for peer in self.peers.values():
-            if peer.linked and now - peer.heard_at > LINK_TIMEOUT_S:
-                log_event("guard:silent", guard=peer.address, runs=len(peer.runs))
-                peer.linked = False
-                self.links.put(CloseLink(peer.address))
             if not peer.linked and peer.runs and now > peer.runs_gone_by():
                 self.reschedule_runs(peer)
         self.completion_times = [
@@ -485,6 +512,8 @@
         ]
         for key in self.expired_run_numbers(now - RUN_NUMBERS_RETENTION_S):
             del self.used_run_numbers[key]
+        self.request_capacity_updates(bool(self.waiting_jobs))
+        self.review_links_if_due(now)
         self.report_ready()
         self.report_drained()
 
--- a/hawthorntrack/coordination/guard_peer.py
+++ b/hawthorntrack/coordination/guard_peer.py
@@ -46,7 +46,13 @@
         Arrival time of the heartbeat on which the leases of the runs at the guard were
         last confirmed, in seconds.
     lease_confirmed_stamp : int
-        The stamp of the directives sent with that confirmation; -1 before the first.
+        The stamp of the directives sent with that confirmation; -1 before the first on
+        a link.
+    sends_capacity_updates : bool
+        Whether that confirmation requested an update on each change of capacity.
+    released : bool
+        Whether the guard has left the working set, and its link is to be closed once no
+        run is left there.
     incarnation_heard_at : float
         Arrival time of the first message of the guard's present incarnation, in
         seconds.
@@ -70,6 +76,8 @@
         self.refused_clock_ms = -1
         self.lease_confirmed_at = 0.0
         self.lease_confirmed_stamp = -1
+        self.sends_capacity_updates = False
+        self.released = False
 
     def begin_incarnation(self, nonce: str) -> None:
         """Reset the state that belongs to one incarnation of the guard."""
@@ -79,6 +87,7 @@
         self.refused_clock_ms = -1
         self.lease_confirmed_at = 0.0
         self.lease_confirmed_stamp = -1
+        self.sends_capacity_updates = False
 
     def update_capacity(self, target_status: TargetStatus) -> None:
         """Store a report of the target's status, unless a newer one is known."""
@@ -106,8 +115,15 @@
     def accepts_runs(self, now: float, zones_out: frozenset[str]) -> bool:
         """Return whether new runs may be sent to the guard now."""
         return (
-            self.linked
+            self.is_in_service(now, zones_out)
+            and not self.released
             and self.guard_clock_ms != self.refused_clock_ms
+        )
+
+    def is_in_service(self, now: float, zones_out: frozenset[str]) -> bool:
+        """Return whether the guard is heard from, and its target is ready for runs."""
+        return (
+            self.linked
             and self.target_status.status == "ready"
             and self.target_status.zone not in zones_out
             and now - self.heard_at < MAX_SILENCE_FOR_NEW_RUNS_S
--- a/hawthorntrack/coordination/leaseholder.py
+++ b/hawthorntrack/coordination/leaseholder.py
@@ -6,7 +6,7 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Iterable
-from itertools import chain
+from itertools import chain, islice
 from typing import Any, NamedTuple
 
 from hawthorntrack.coordination import leases
@@ -43,6 +43,9 @@
 from hawthorntrack.state.plans import RunName, TaskName
 from hawthorntrack.state.values import Incarnation
 
+# Each change of capacity is reported to this many of the entry instances that wait for
+# it, in turn. If all of them were told, they would all send tasks to the same place.
+CAPACITY_REPORT_FANOUT = 3
 # Changes of capacity within this time are combined into one report.
 CAPACITY_REPORT_DELAY_S = 0.004
 # Owners that reconnect within this time can still ask how their runs ended.
@@ -85,9 +88,13 @@
     Attributes
     ----------
     entry_nonces : dict of str to str
-        Nonce of the current process at each entry instance's address.
-    capacity_subscribers : set of str
-        Entry instances that receive each change of capacity at once.
+        Nonce of the current process at the address of each entry instance that is
+        linked or has runs here.
+    linked_entries : set of str
+        Entry instances to which there is a link.
+    capacity_subscribers : dict of str to None
+        Entry instances where jobs wait; the one that comes first is told first of the
+        next change of capacity.
     reported_status : str
         Status in the last heartbeat that was sent to all entry instances.
     recent_endings : dict
@@ -113,7 +120,8 @@
         self.send = send
         self.drained = drained
         self.entry_nonces: dict[str, str] = {}
-        self.capacity_subscribers: set[str] = set()
+        self.linked_entries: set[str] = set()
+        self.capacity_subscribers: dict[str, None] = {}
         self.reported_status = ""
         self.recent_endings: dict[tuple[str, TaskName], tuple[float, RunEnding]] = {}
         self.deferred_orders: dict[TaskName, list[DeferredOrder]] = {}
@@ -173,20 +181,32 @@
 
     @handles(ReportCapacity)
     def on_report_capacity(self, message: ReportCapacity, sender: Incarnation) -> None:
-        """Send a heartbeat to subscribers, or to all after a change of status."""
+        """Send a heartbeat to some subscribers, or to all after a change of status."""
         self.report_scheduled = False
-        self.send_heartbeat(
-            self.entry_nonces if self.status_changed() else self.capacity_subscribers
-        )
+        if self.status_changed():
+            self.send_heartbeat_to_all()
+        else:
+            self.send_heartbeat(self.next_subscribers())
 
-    def send_heartbeat(self, addresses: Iterable[str]) -> None:
-        """Send a heartbeat to entry instances."""
-        target_status = self.target_status()
-        if addresses is self.entry_nonces:
-            self.reported_status = target_status.status
-        heartbeat = GuardHeartbeat(int(self.clock() * 1000), target_status)
+    def next_subscribers(self) -> list[str]:
+        """Return the subscribers whose turn it is to learn of a change of capacity."""
+        addresses = list(islice(self.capacity_subscribers, CAPACITY_REPORT_FANOUT))
+        for address in addresses:
+            del self.capacity_subscribers[address]
+            self.capacity_subscribers[address] = None
+        return addresses
+
+    def send_heartbeat_to_all(self) -> None:
+        """Send a heartbeat to all linked entry instances."""
+        heartbeat = self.send_heartbeat(self.linked_entries)
+        self.reported_status = heartbeat.target_status.status
+
+    def send_heartbeat(self, addresses: Iterable[str]) -> GuardHeartbeat:
+        """Send a heartbeat to entry instances, and return it."""
+        heartbeat = GuardHeartbeat(int(self.clock() * 1000), self.target_status())
         for address in addresses:
             self.send(address, heartbeat)
+        return heartbeat
 
     @handles(Hello)
     def on_hello(self, hello: Hello, sender: Incarnation) -> None:
@@ -199,6 +219,7 @@
             self.stop_owner_runs(sender.address, "owner_restarted")
             self.forget_owner(sender.address)
         self.entry_nonces[sender.address] = sender.nonce
+        self.linked_entries.add(sender.address)
         log_event("entry:linked", entry=str(sender))
         self.send(
             sender.address,
@@ -212,7 +233,8 @@
     @handles(LinkDown)
     def on_link_down(self, event: LinkDown, sender: Incarnation) -> None:
         """Shorten an entry instance's lease to the time it has to reconnect."""
-        self.capacity_subscribers.discard(event.address)
+        self.linked_entries.discard(event.address)
+        self.capacity_subscribers.pop(event.address, None)
         if event.address in self.owner_lease_ends:
             limit = self.clock() + leases.RECONNECT_GRACE_S
             lease_end = min(self.owner_lease_ends[event.address], limit)
@@ -228,9 +250,9 @@
             ),
         )
         if confirmation.needs_capacity_updates:
-            self.capacity_subscribers.add(sender.address)
+            self.capacity_subscribers.setdefault(sender.address)
         else:
-            self.capacity_subscribers.discard(sender.address)
+            self.capacity_subscribers.pop(sender.address, None)
         if confirmation.store_version > self.zones_version:
             self.zones_version = confirmation.store_version
             self.zones_out = frozenset(confirmation.zones_out)
@@ -516,7 +538,23 @@
         }
         if now >= self.next_heartbeat_at:
             self.next_heartbeat_at = now + GUARD_HEARTBEAT_INTERVAL_S
-            self.send_heartbeat(self.entry_nonces)
+            self.send_heartbeat_to_all()
+            self.forget_unlinked_entries()
+
+    def forget_unlinked_entries(self) -> None:
+        """Forget the nonces of entry instances that have neither a link nor runs."""
+        owners = {
+            run.owner
+            for session in self.sessions.values()
+            for run in session.runs.values()
+        }
+        waiting = chain.from_iterable(self.deferred_orders.values())
+        kept = self.linked_entries | owners | {order.owner for order in waiting}
+        self.entry_nonces = {
+            address: nonce
+            for address, nonce in self.entry_nonces.items()
+            if address in kept
+        }
 
     @handles(Drain)
     def on_drain(self, order: Drain, sender: Incarnation) -> None:
--- a/hawthorntrack/coordination/run_placement.py
+++ b/hawthorntrack/coordination/run_placement.py
@@ -6,6 +6,7 @@
 from statistics import median
 from typing import Any
 
+from hawthorntrack.coordination.guard_links import GuardLinks
 from hawthorntrack.coordination.guard_peer import GuardPeer
 from hawthorntrack.coordination.job_progress import PLACED, WAITING, Job, Task
 from hawthorntrack.coordination.queue_ordering import (
@@ -18,12 +19,11 @@
     slowness_limit,
 )
 from hawthorntrack.coordination.target_selection import choose_target
-from hawthorntrack.protocol.links import LinkDown, LinkUp
+from hawthorntrack.coordination.working_set import WorkingSet
 from hawthorntrack.protocol.run_messages import (
     CheckRuns,
     ConfirmLease,
     GuardHeartbeat,
-    Hello,
     RunEnding,
     RunOrder,
     RunsAccepted,
@@ -31,11 +31,11 @@
     RunsRefused,
     StartRuns,
 )
-from hawthorntrack.state.actor import Actor, handles
+from hawthorntrack.state.actor import handles
 from hawthorntrack.state.clock import Clock
-from hawthorntrack.state.directives import Directives
 from hawthorntrack.state.event_log import log_event
 from hawthorntrack.state.lease_times import LeaseTimes
+from hawthorntrack.state.mailbox import Mailbox
 from hawthorntrack.state.metrics import (
     RETRIES,
     WAIT_SECONDS,
@@ -59,7 +59,7 @@
 FAILURE_ENDINGS = {"failed"}
 
 
-class RunPlacement(Actor):
+class RunPlacement(GuardLinks):
     """Base of the dispatcher: owns its view of guards and of the runs placed there.
 
     Parameters
@@ -68,12 +68,16 @@
         Zone of this instance.
     far_factor : float
         Factor on a task's run time on a target outside the rack of its data.
-    send : callable
-        Sends a message; called with a peer's address and the message.
-    clock : callable
-        Returns seconds, including time for which the machine was suspended.
-    lease_times : LeaseTimes
-        Durations of leases.
+    send, links, clock, lease_times, working_set
+        As for `GuardLinks`.
+
+    Attributes
+    ----------
+    waiting_jobs : dict of str to Job
+        The jobs with tasks that wait to be placed, by key; some may have ended.
+    least_waiting_cpu_m : int
+        Smallest need among the tasks that the last placement left waiting, in
+        thousandths of a core.
     """
 
     def __init__(
@@ -81,18 +85,17 @@
         zone: str,
         far_factor: float,
         send: Callable[[str, Any], None],
+        links: Mailbox,
         clock: Clock,
         lease_times: LeaseTimes,
+        working_set: WorkingSet,
     ) -> None:
-        super().__init__()
+        super().__init__(send, links, clock, lease_times, working_set)
         self.zone = zone
         self.far_factor = far_factor
-        self.send = send
-        self.clock = clock
-        self.lease_times = lease_times
-        self.directives = Directives()
         self.jobs: dict[str, Job] = {}
-        self.peers: dict[str, GuardPeer] = {}
+        self.waiting_jobs: dict[str, Job] = {}
+        self.least_waiting_cpu_m = 0
         self.shares = FairShares()
         self.queue_order = queue_orders[DEFAULT_ORDER]
         self.mean_critical_path_s: dict[str, float] = {}
@@ -113,19 +116,38 @@
         """Report whether this instance can accept jobs."""
         raise NotImplementedError
 
-    def available_peers(self, now: float) -> list[GuardPeer]:
-        """Return the guards that accept new runs."""
-        zones_out = self.directives.zones_out
-        return [
-            peer for peer in self.peers.values() if peer.accepts_runs(now, zones_out)
-        ]
+    def queue_job(self, job: Job) -> None:
+        """Add a job with waiting tasks to those that are placed next."""
+        self.waiting_jobs[job.plan.key] = job
+        self.placement_pending = True
+
+    def place_if_useful(self, peer: GuardPeer) -> None:
+        """Place waiting tasks next if a guard has room for the smallest of them.
+
+        Explanation
+        -----------
+        Load pattern: for seconds, more jobs wait than the targets can run. A placement
+        considers all of them, and most messages report that a target is still full.
+        """
+        if self.waiting_jobs:
+            free = peer.to_candidate().free
+            self.placement_pending |= free.cpu_m >= self.least_waiting_cpu_m
+
+    def prune_waiting_jobs(self) -> None:
+        """Remove the jobs that have ended or of which no task waits any more."""
+        self.waiting_jobs = {
+            key: job
+            for key, job in self.waiting_jobs.items()
+            if self.jobs.get(key) is job and job.waiting()
+        }
 
     def place_waiting(self) -> None:
         """Place waiting tasks in the order that the current policy gives."""
-        self.end_unawaited_jobs(self.jobs.values())
+        self.end_unawaited_jobs(self.waiting_jobs.values())
+        self.prune_waiting_jobs()
         queues: dict[str, list[Job]] = defaultdict(list)
-        for job in self.jobs.values():
-            if not job.process_suspended and job.waiting():
+        for job in self.waiting_jobs.values():
+            if not job.process_suspended:
                 queues[job.queue.name if self.queue_order.fair_shares else ""].append(
                     job
                 )
@@ -154,17 +176,39 @@
             elif not self.place_job(job, candidates, batches, median_slowness, now):
                 if not self.queue_order.backfill:
                     del heads[name]
+        self.send_orders(batches, now)
+        self.prune_waiting_jobs()
+        if self.waiting_jobs:
+            self.least_waiting_cpu_m = min(
+                task.step.need.cpu_m
+                for job in self.waiting_jobs.values()
+                for task in job.waiting()
+            )
+            self.working_set.note_shortage()
+        self.request_capacity_updates(bool(self.waiting_jobs))
+
+    def send_orders(
+        self, batches: dict[tuple[str, str], list[RunOrder]], now: float
+    ) -> None:
+        """Send the orders of one placement, by job and guard.
+
+        Explanation
+        -----------
+        An order extends the leases of all runs of this instance at the guard, so the
+        unwanted ones are stopped first.
+        """
+        for address in dict.fromkeys(address for _, address in batches):
+            self.end_unawaited_jobs(self.jobs_at(self.peers[address]))
         for (key, address), orders in batches.items():
-            job = self.jobs[key]
+            job = self.jobs.get(key)
+            if job is None:
+                continue
             remaining_ms = max(1, round((job.deadline_at - now) * 1000))
             guard_clock_ms = self.peers[address].guard_clock_ms
             message = StartRuns(
                 guard_clock_ms, job.plan.payload, remaining_ms, tuple(orders)
             )
             self.send(address, message)
-        self.request_capacity_updates(
-            any(job.waiting() for jobs in queues.values() for job in jobs)
-        )
 
     def waiting_job(self, job: Job) -> WaitingJob:
         """Return the properties of a job by which queue orders rank it."""
@@ -246,42 +290,7 @@
             self.end_job(job, Abandoned("stood_still"))
             return
         task.phase = WAITING
-        self.placement_pending = True
-
-    def touch_peer(self, sender: Incarnation) -> GuardPeer:
-        """Return the record of a guard; set the time of its last message to now."""
-        peer = self.peers.get(sender.address)
-        if peer is None:
-            peer = GuardPeer(sender.address, self.lease_times)
-            self.peers[sender.address] = peer
-        peer.heard_at = self.clock()
-        return peer
-
-    @handles(Hello)
-    def on_hello(self, message: Hello, sender: Incarnation) -> None:
-        """Record a connected guard; check its runs if it is the same incarnation."""
-        if message.role != "guard":
-            return
-        peer = self.touch_peer(sender)
-        peer.linked = True
-        peer.unreported.clear()
-        log_event("guard:linked", guard=str(sender), runs=len(peer.runs))
-        if peer.nonce != sender.nonce:
-            peer.begin_incarnation(sender.nonce)
-        else:
-            self.send_check_runs(peer)
-
-    @handles(LinkUp)
-    def on_link_up(self, link: LinkUp, sender: Incarnation) -> None:
-        """Do nothing: the peer's first message, `Hello`, contains its role."""
-
-    @handles(LinkDown)
-    def on_link_down(self, link: LinkDown, sender: Incarnation) -> None:
-        """Mark a guard as disconnected, so that no runs are sent to it."""
-        peer = self.peers.get(link.address)
-        if peer is not None:
-            log_event("guard:lost", guard=link.address, runs=len(peer.runs))
-            peer.linked = False
+        self.queue_job(job)
 
     @handles(GuardHeartbeat)
     def on_guard_heartbeat(
@@ -297,15 +306,25 @@
             self.confirm_leases_if_due(peer)
         self.check_runs_of_earlier_incarnation(peer)
         self.report_ready()
-        self.placement_pending = True
+        self.place_if_useful(peer)
 
     def confirm_leases_if_due(self, peer: GuardPeer) -> None:
-        """Confirm a guard's runs if its newest heartbeat calls for it."""
+        """Confirm a guard's runs if its newest heartbeat calls for it.
+
+        Explanation
+        -----------
+        A guard without runs of this instance has no lease to be extended. It is told
+        the directives, and whether jobs wait for its capacity, when these change.
+        """
         if not peer.linked or not peer.guard_clock_ms:
             return
-        directives_confirmed = peer.lease_confirmed_stamp == self.directives.stamp
+        informed = (
+            peer.lease_confirmed_stamp == self.directives.stamp
+            and peer.sends_capacity_updates == self.needs_capacity_updates
+        )
         unconfirmed_s = peer.heartbeat_at - peer.lease_confirmed_at
-        if not directives_confirmed or unconfirmed_s >= MIN_LEASE_CONFIRM_INTERVAL_S:
+        due = peer.runs and unconfirmed_s >= MIN_LEASE_CONFIRM_INTERVAL_S
+        if due or not informed:
             self.confirm_leases(peer)
 
     def confirm_leases(self, peer: GuardPeer) -> None:
@@ -328,6 +347,7 @@
             peer.heartbeat_at,
             confirmation.store_version,
         )
+        peer.sends_capacity_updates = confirmation.needs_capacity_updates
         self.send(peer.address, confirmation)
 
     def request_capacity_updates(self, jobs_waiting: bool) -> None:
@@ -424,7 +444,7 @@
                 self.end_job(job, JobFailed("target_refused_task"))
             else:
                 self.requeue_task(job, task)
-        self.placement_pending = True
+        self.place_if_useful(peer)
 
     @handles(RunsEnded)
     def on_runs_ended(self, ended: RunsEnded, sender: Incarnation) -> None:
@@ -437,7 +457,7 @@
             if found is not None:
                 self.clear_placement(peer, found[1], ending.number)
                 self.apply_run_ending(*found, ending, peer.address)
-        self.placement_pending = True
+        self.place_if_useful(peer)
 
     def clear_placement(self, peer: GuardPeer, task: Task, number: int) -> None:
         """Record that no run of a task is at a guard any more; number the next run.
@@ -464,6 +484,8 @@
             job.complete_task(task)
             if job.complete:
                 self.end_job(job, Completed())
+            elif job.waiting():
+                self.queue_job(job)
             return
         labelled(RETRIES, f"run_{ending.end_state}").inc()
         log_event(
--- a/hawthorntrack/coordination/store_watcher.py
+++ b/hawthorntrack/coordination/store_watcher.py
@@ -8,8 +8,8 @@
 from typing import Any
 
 from hawthorntrack.protocol.job_requests import DirectivesChanged
-from hawthorntrack.protocol.links import MaintainLink, StampChanged
-from hawthorntrack.protocol.local import NewerStampSeen
+from hawthorntrack.protocol.links import DialOnce, MaintainLink, StampChanged
+from hawthorntrack.protocol.local import MembersKnown, NewerStampSeen
 from hawthorntrack.protocol.run_messages import (
     DirectiveRows,
     Hello,
@@ -80,9 +80,9 @@
     send : callable
         Sends a message to a peer's address.
     links : Mailbox
-        Receives `MaintainLink` and `StampChanged`.
+        Receives `MaintainLink`, `DialOnce` and `StampChanged`.
     subscribers : list of Mailbox
-        Receive `DirectivesChanged`.
+        Receive `DirectivesChanged` and `MembersKnown`.
     """
 
     exposed_name = "Follower"
@@ -172,9 +172,15 @@
         self.reachable[call] = reachable
 
     def connect_to_seeds(self) -> None:
-        """Connect to the seed peers, which may have newer directives and members."""
+        """Connect to the seed peers, which may have newer directives and members.
+
+        Explanation
+        -----------
+        These links are not maintained: callers of this method repeat it while the
+        store gives no answer.
+        """
         for address in self.seeds:
-            self.links.put(MaintainLink(address))
+            self.links.put(DialOnce(address))
 
     @handles(StoreAnswer)
     def on_store_answer(self, answer: StoreAnswer, sender: Incarnation) -> None:
@@ -233,21 +239,22 @@
         return True
 
     def add_members(self, members: tuple[Member, ...]) -> None:
-        """Record members and connect to them.
+        """Record members, pass them to the subscribers, and connect to entries.
 
         Explanation
         -----------
-        Entries connect to all guards. Of two entries, the one with the lower address
-        connects to the other.
+        Of two entries, the one with the lower address connects to the other. The
+        subscribers decide which guards are connected to.
         """
         for member in members:
             if self.members.get(member.address) == member:
                 continue
             self.members[member.address] = member
-            to_guard = self.me.role == "entry" and member.role == "guard"
-            to_entry = member.role == self.me.role and self.me.address < member.address
-            if to_guard or to_entry:
+            if member.role == self.me.role and self.me.address < member.address:
                 self.links.put(MaintainLink(member.address))
+        if members:
+            for mailbox in self.subscribers:
+                mailbox.put(MembersKnown(members))
 
     @handles(Hello)
     def on_hello(self, hello: Hello, sender: Incarnation) -> None:
--- a/hawthorntrack/coordination/tests/test_dispatcher.py
+++ b/hawthorntrack/coordination/tests/test_dispatcher.py
@@ -13,6 +13,7 @@
     Dispatcher,
 )
 from hawthorntrack.coordination.guard_peer import LINK_TIMEOUT_S
+from hawthorntrack.coordination.working_set import SURPLUS_LINGER_S
 from hawthorntrack.protocol.job_requests import (
     CallerDisconnected,
     CancelPlan,
@@ -21,8 +22,18 @@
     GetPlanState,
     SubmitPlan,
 )
-from hawthorntrack.protocol.links import CloseLink, LinkDown
-from hawthorntrack.protocol.local import Drain, DrainCompleted, DrainDeadlinePassed
+from hawthorntrack.protocol.links import (
+    CloseLink,
+    LinkDown,
+    MaintainLink,
+    RemovePeer,
+)
+from hawthorntrack.protocol.local import (
+    Drain,
+    DrainCompleted,
+    DrainDeadlinePassed,
+    MembersKnown,
+)
 from hawthorntrack.protocol.run_messages import (
     CancelJobRuns,
     CheckRuns,
@@ -39,7 +50,7 @@
 )
 from hawthorntrack.state.actor import Delivery
 from hawthorntrack.state.catalogue import Catalogue, Queue
-from hawthorntrack.state.directives import Directives
+from hawthorntrack.state.directives import Directives, Member
 from hawthorntrack.state.lease_times import (
     GUARD_HEARTBEAT_INTERVAL_S,
     DeploymentTimes,
@@ -311,6 +322,77 @@
     assert isinstance(reply.result(), JobFailed)
 
 
+def test_job_whose_label_no_linked_target_has_is_not_failed_for_good(entry):
+    """Load pattern: a large fleet in which few targets have a label."""
+    members = [Member(f"10.0.0.{n}:1", "guard", "recife", "n") for n in range(200)]
+    members += [Member(f"10.0.1.{n}:1", "entry", "recife", "n") for n in range(40)]
+    entry.deliver(MembersKnown(tuple(members)))
+    reply = entry.submit(steps=(StepSpec(1, NEED, 0.4, label="gpu"),))
+    assert reply.result() == Refused("label_not_linked", 1)
+    before = len(entry.dispatcher.working_set.chosen)
+    entry.advance(0.2)
+    assert len(entry.dispatcher.working_set.chosen) > before
+
+
+def test_guard_that_registers_is_dialled_at_once(entry):
+    member = Member("10.0.0.7:1", "guard", "olinda", "side-7")
+    entry.deliver(MembersKnown((member,)))
+    dialled = [entry.links.queue.get_nowait() for _ in range(entry.links.queue.qsize())]
+    assert MaintainLink(member.address) in dialled
+
+
+@pytest.fixture
+def surplus_guard(placed_job):
+    """Return an entry instance with a job at a guard that left its working set."""
+    entry, reply, runs = placed_job
+    working_set = entry.dispatcher.working_set
+    members = [Member(f"10.0.0.{n}:1", "guard", "recife", "n") for n in range(200)]
+    working_set.add_members(members)
+    working_set.order.remove(GUARD_1.address)
+    for _ in range(round((SURPLUS_LINGER_S + 0.2) / GUARD_HEARTBEAT_INTERVAL_S)):
+        entry.advance(GUARD_HEARTBEAT_INTERVAL_S)
+        entry.send_heartbeat(GUARD_1)
+    return entry, reply, runs
+
+
+def test_link_to_a_guard_that_left_the_set_is_kept_while_it_has_runs(surplus_guard):
+    entry, reply, runs = surplus_guard
+    entry.take_messages(ConfirmLease)
+    entry.advance(GUARD_HEARTBEAT_INTERVAL_S)
+    entry.send_heartbeat(GUARD_1)
+    assert len(entry.take_messages(ConfirmLease)) == 1
+    assert RemovePeer(GUARD_1.address) not in entry.links.queue._queue
+    for run in runs:
+        entry.end_run(GUARD_1, run)
+    assert reply.result() == Completed()
+    entry.advance(0.2)
+    assert RemovePeer(GUARD_1.address) in entry.links.queue._queue
+    assert GUARD_1.address not in entry.dispatcher.peers
+
+
+def test_guard_that_left_the_set_gets_no_new_runs(surplus_guard):
+    entry, _, _ = surplus_guard
+    entry.submit(key="b" * 16)
+    assert entry.take_starts() == []
+
+
+def test_job_cancelled_at_another_instance_is_cancelled_where_it_runs(placed_job):
+    """The other instance may not be linked to the guards that have the runs."""
+    entry, reply, runs = placed_job
+    entry.deliver(CancelJobRuns("a" * 16), Incarnation("entry-2:1", "e2"))
+    assert reply.result() == Abandoned("cancelled")
+    ((to, stop),) = entry.take_messages(StopRuns)
+    assert (to, set(stop.runs)) == (GUARD_1.address, set(runs))
+
+
+def test_cancellation_is_sent_to_the_other_entry_instances(entry):
+    entry.deliver(MembersKnown((Member("10.0.0.8:1", "entry", "recife", "e"),)))
+    reply = entry.loop.create_future()
+    entry.deliver(CancelPlan("calls.example", "/confirm/x", "a" * 16, reply))
+    receivers = [to for to, _ in entry.take_messages(CancelJobRuns)]
+    assert receivers == [GUARD_1.address, "10.0.0.8:1"]
+
+
 def test_job_without_capacity_is_refused_early_and_never_started(entry):
     entry.send_heartbeat(GUARD_1, free=Resources())
     reply = entry.submit()
@@ -745,7 +827,7 @@
     assert [
         confirmation.needs_capacity_updates
         for _, confirmation in entry.take_messages(ConfirmLease)
-    ] == [False]
+    ] == [False, False]  # one on each of two links
     entry.submit()  # two tasks, capacity for one
     assert [
         confirmation.needs_capacity_updates
@@ -763,6 +845,7 @@
 def test_heartbeats_in_quick_succession_are_confirmed_once(entry):
     entry.set_directives()
     entry.connect_guard(GUARD_1)
+    entry.submit()
     entry.take_messages(ConfirmLease)
     for _ in range(5):
         entry.send_heartbeat(GUARD_1)
@@ -776,6 +859,7 @@
     """The shortest owner lease lasts for two heartbeats, and would end without it."""
     entry.set_directives()
     entry.connect_guard(GUARD_1)
+    entry.submit()
     entry.advance(GUARD_HEARTBEAT_INTERVAL_S - 0.02)
     entry.dispatcher.request_capacity_updates(True)
     entry.time += 0.02
@@ -785,6 +869,47 @@
     assert confirmation.guard_clock_ms == round(entry.time * 1000)
 
 
+def test_guard_without_runs_is_told_only_changes(entry):
+    """Load pattern: a quiet day; most guards have no run of an entry instance."""
+    entry.take_messages(ConfirmLease)
+    for _ in range(10):
+        entry.advance(GUARD_HEARTBEAT_INTERVAL_S)
+        entry.send_heartbeat(GUARD_1)
+    assert entry.take_messages(ConfirmLease) == []
+    entry.set_directives(stamp=5, zones_out=["olinda"])
+    entry.send_heartbeat(GUARD_1)
+    ((_, confirmation),) = entry.take_messages(ConfirmLease)
+    assert (confirmation.store_version, confirmation.zones_out) == (5, ("olinda",))
+
+
+def test_directives_are_told_again_on_a_new_link(entry):
+    """The link broke with the confirmation that told them in transit."""
+    entry.take_messages(ConfirmLease)
+    entry.deliver(LinkDown(GUARD_1.address))
+    entry.connect_guard(GUARD_1)
+    assert len(entry.take_messages(ConfirmLease)) == 1
+
+
+def test_every_heartbeat_of_a_guard_with_runs_is_confirmed(placed_job):
+    entry, _, _ = placed_job
+    entry.take_messages(ConfirmLease)
+    for _ in range(5):
+        entry.advance(GUARD_HEARTBEAT_INTERVAL_S)
+        entry.send_heartbeat(GUARD_1)
+        ((_, confirmation),) = entry.take_messages(ConfirmLease)
+        assert confirmation.guard_clock_ms == round(entry.time * 1000)
+
+
+def test_lease_is_not_extended_by_an_order_for_a_job_whose_caller_left(entry):
+    """An order for another job extends the leases of all runs at the guard."""
+    left = entry.submit(key="b" * 16)
+    entry.take_starts()
+    left.cancel()
+    entry.submit(key="c" * 16)
+    kinds = [type(body) for to, body in entry.sent if to == GUARD_1.address]
+    assert kinds.index(StopRuns) < kinds.index(StartRuns)
+
+
 def test_draining_entry_takes_what_still_ends_in_time(placed_job):
     """Load pattern: rolling restarts with callers that keep their connections."""
     entry, _, _ = placed_job
--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -6,7 +6,11 @@
 
 from hawthorntrack.coordination import leases
 from hawthorntrack.coordination.answer_times import MAX_ORDER_TIMEOUT_S, AnswerTimes
-from hawthorntrack.coordination.leaseholder import LeaseHolder, ReportCapacity
+from hawthorntrack.coordination.leaseholder import (
+    CAPACITY_REPORT_FANOUT,
+    LeaseHolder,
+    ReportCapacity,
+)
 from hawthorntrack.coordination.leases import (
     MAX_CLOCK_DRIFT_FACTOR,
     TargetClockReading,
@@ -1291,6 +1295,53 @@
     ]
 
 
+def test_each_capacity_change_is_reported_to_a_few_subscribers_in_turn(guard):
+    """Load pattern: many entry instances wait for the capacity of a full target."""
+    entries = [Incarnation(f"entry:{n}", f"e{n}") for n in range(1, 9)]
+    for entry in entries:
+        guard.deliver(Hello("entry", "recife", entry.address), entry)
+        guard.deliver(ConfirmLease(round(guard.time * 1000), 3, (), True), entry)
+    guard.wait(0.25)  # a heartbeat tells all of them the target's status
+    told = []
+    for _ in range(4):
+        guard.sent.clear()
+        guard.deliver(ReportCapacity())
+        receivers = [to for to, body in guard.sent if type(body) is GuardHeartbeat]
+        assert len(receivers) == CAPACITY_REPORT_FANOUT
+        told += receivers
+    assert {entry.address for entry in entries} == set(told)
+
+
+def test_heartbeats_go_only_to_linked_entry_instances(guard):
+    guard.deliver(Hello("entry", "recife", "entry-2"), OTHER)
+    guard.deliver(LinkDown(OTHER.address))
+    guard.sent.clear()
+    guard.wait(0.2)
+    assert [to for to, body in guard.sent if type(body) is GuardHeartbeat] == [
+        ENTRY.address
+    ]
+
+
+def test_runs_of_an_instance_that_restarts_while_its_link_is_down_are_stopped(guard):
+    """The guard knows the earlier process only by the nonce of a link that broke."""
+    guard.order_runs()
+    guard.answer_starts()
+    guard.deliver(LinkDown(ENTRY.address))
+    guard.wait(0.2)
+    guard.deliver(Hello("entry", "recife", "entry-1"), ENTRY._replace(nonce="e9"))
+    assert len(guard.take_orders(StopOrder)) == 1
+
+
+def test_unlinked_instances_without_runs_are_forgotten(guard):
+    """Rolling restarts give the guard ever new addresses of entry instances."""
+    for number in range(50):
+        entry = Incarnation(f"entry:{number}", "e")
+        guard.deliver(Hello("entry", "recife", entry.address), entry)
+        guard.deliver(LinkDown(entry.address))
+    guard.wait(0.2)
+    assert len(guard.holder.entry_nonces) <= 1
+
+
 def test_capacity_change_is_reported_at_once_only_to_subscribers(guard):
     """Load pattern: low load at many entry instances."""
     posted = []
--- a/hawthorntrack/coordination/tests/test_store_watcher.py
+++ b/hawthorntrack/coordination/tests/test_store_watcher.py
@@ -6,8 +6,8 @@
 
 from hawthorntrack.coordination.store_watcher import StoreWatcher
 from hawthorntrack.protocol.job_requests import DirectivesChanged
-from hawthorntrack.protocol.links import MaintainLink
-from hawthorntrack.protocol.local import NewerStampSeen
+from hawthorntrack.protocol.links import DialOnce, MaintainLink
+from hawthorntrack.protocol.local import MembersKnown, NewerStampSeen
 from hawthorntrack.protocol.run_messages import (
     DirectiveRows,
     Hello,
@@ -101,10 +101,20 @@
             if isinstance(item, DirectivesChanged)
         ]
 
-    def connected_addresses(self):
+    def dialled_addresses(self, kind):
         queue = self.links.queue
         items = [queue.get_nowait() for _ in range(queue.qsize())]
-        return [item.address for item in items if isinstance(item, MaintainLink)]
+        return [item.address for item in items if isinstance(item, kind)]
+
+    def known_members(self):
+        queue = self.subscriber.queue
+        items = [queue.get_nowait() for _ in range(queue.qsize())]
+        return [
+            member
+            for item in items
+            if isinstance(item, MembersKnown)
+            for member in item.members
+        ]
 
 
 @pytest.fixture
@@ -160,10 +170,20 @@
 def test_watcher_connects_to_seeds_while_the_store_is_unavailable(run, harness):
     harness.store.reads["op"] = [StoreUnavailable("busy"), Changes((config(3, 5),), 6)]
     run(harness.run_for(1.0))
-    assert "10.0.0.9:1" in harness.connected_addresses()
+    assert "10.0.0.9:1" in harness.dialled_addresses(DialOnce)
     assert harness.versions() == [(3, 6)]
 
 
+def test_seeds_are_not_dialled_any_more_once_the_store_answers(run, harness):
+    harness.store.reads["op"] = [StoreUnavailable("busy"), Changes((config(3, 5),), 6)]
+
+    async def scenario():
+        await harness.run_for(1.0)
+        return harness.dialled_addresses(DialOnce)
+
+    assert run(scenario()) == ["10.0.0.9:1"]
+
+
 def test_registration_is_repeated_until_it_is_acknowledged(run, harness):
     harness.store.puts = [
         StoreUnavailable("limited"),
@@ -210,10 +230,26 @@
     assert harness.sent == []
 
 
-def test_entry_connects_to_guards_in_the_members_table(run, harness):
+def test_guards_in_the_members_table_are_passed_to_the_dispatcher(run, harness):
     harness.store.reads["members"] = [Changes((StoreRow("10.0.0.5:1", b"", 1),), 2)]
     run(harness.run_for())
-    assert "10.0.0.5:1" in harness.connected_addresses()
+    assert harness.known_members() == [Member("10.0.0.5:1", "guard", "z", "n")]
+    assert harness.dialled_addresses(MaintainLink) == []
+
+
+def test_guard_that_registers_again_is_passed_to_the_dispatcher_again(run, harness):
+    row = StoreRow("10.0.0.5:1", b"", 1)
+    harness.store.reads["members"] = [Changes((row,), 2)]
+    harness.store.watches["members"] = [Changes((row._replace(version=3),), 3)]
+    run(harness.run_for())
+    assert len(harness.known_members()) == 2
+
+
+def test_entry_connects_to_entries_with_higher_addresses(run, harness):
+    for address in ("10.0.0.0:1", "10.0.0.3:1"):
+        member = (address, "entry", "z", "n")
+        harness.deliver(KnownMembers((member,)))
+    assert harness.dialled_addresses(MaintainLink) == ["10.0.0.3:1"]
 
 
 def test_members_spread_among_entries_while_the_store_is_silent(run, harness):
@@ -225,7 +261,8 @@
         harness.deliver(Hello("guard", "olinda", "side-1"), guard)
 
     run(scenario())
-    assert "10.0.0.7:1" in harness.connected_addresses()
+    guards = [m.address for m in harness.known_members() if m.role == "guard"]
+    assert guards == ["10.0.0.7:1", "10.0.0.8:1"]
     sent_to_peer = [body for to, body in harness.sent if to == PEER.address]
     assert KnownMembers((("10.0.0.8:1", "guard", "olinda", "side-1"),)) in sent_to_peer
 
--- a/hawthorntrack/daemon/node.py
+++ b/hawthorntrack/daemon/node.py
@@ -206,6 +206,8 @@
         seconds_since_boot,
         settings.grace_s - SHUTDOWN_RESERVE_S,
         settings.lease_times,
+        settings.advertised,
+        settings.max_guard_links,
     )
     callers_handler = CallersHandler(dispatcher.mailbox)
     node.bus.listeners.append(dispatcher.mailbox)
--- a/hawthorntrack/experiment/model_site.py
+++ b/hawthorntrack/experiment/model_site.py
@@ -22,11 +22,17 @@
     DirectivesChanged,
     SubmitPlan,
 )
-from hawthorntrack.protocol.links import CloseLink, LinkDown
+from hawthorntrack.protocol.links import (
+    CloseLink,
+    LinkDown,
+    MaintainLink,
+    RemovePeer,
+)
+from hawthorntrack.protocol.local import MembersKnown
 from hawthorntrack.protocol.run_messages import Hello
 from hawthorntrack.state.actor import Actor, Delivery
 from hawthorntrack.state.catalogue import Catalogue, Queue, Service
-from hawthorntrack.state.directives import Directives
+from hawthorntrack.state.directives import Directives, Member
 from hawthorntrack.state.lease_times import DeploymentTimes, derive_lease_times
 from hawthorntrack.state.mailbox import Mailbox, tick
 from hawthorntrack.state.plans import JobPlan, RunName, StepSpec, TaskName
@@ -39,6 +45,7 @@
 RESEND_DELAY_S = 1.3
 CALLER_TIMEOUT_FACTOR = 3
 REDIAL_DELAY_S = 0.1
+MEMBERS_FEED_DELAY_S = 0.01
 LOOP_START_S = 1_000.0
 CLOCK_STEP_S = 0.001  # resolution of the simulated clock
 ENTRY_TICK_S = 0.02
@@ -161,7 +168,15 @@
 
 
 class Process:
-    """One process of a model: an actor, its links, and whether it is frozen."""
+    """One process of a model: an actor, its links, and whether it is frozen.
+
+    Attributes
+    ----------
+    links : set of (str, str)
+        Address of each linked peer, with the own nonce under which it was linked.
+    maintained : set of str
+        Peers to which links are opened again.
+    """
 
     def __init__(self, network: Network, address: str, zone: str, role: str) -> None:
         self.network = network
@@ -169,6 +184,7 @@
         self.role = role
         self.me = Incarnation(address, f"{random.getrandbits(32):x}")
         self.links: set[tuple[str, str]] = set()
+        self.maintained: set[str] = set()
         self.unfrozen = asyncio.Event()
         self.unfrozen.set()
         self.actor: Actor | None = None
@@ -240,8 +256,13 @@
                 peer.receive(self.me, LinkDown(self.me.address))
 
 
-class LinkCloser(Mailbox):
-    """Mailbox in place of the link owner; it closes links for a dispatcher."""
+def member_of(process: Process) -> Member:
+    """Return the registration of a process."""
+    return Member(process.me.address, process.role, process.zone, process.me.address)
+
+
+class LinkOwner(Mailbox):
+    """Mailbox in place of the link owner; opens and closes links for a dispatcher."""
 
     def __init__(self, site: "ModelSite", process: Process) -> None:
         super().__init__("links")
@@ -249,9 +270,15 @@
         self.process = process
 
     def put(self, message: Any) -> None:
-        """Break the link named by a `CloseLink`; it is redialled after a delay."""
+        """Open, break or close a link; a broken one is redialled after a delay."""
         if isinstance(message, CloseLink):
             self.site.break_link(self.process, message.address)
+        elif isinstance(message, MaintainLink):
+            self.process.maintained.add(message.address)
+            self.site.dial(self.process, message.address)
+        elif isinstance(message, RemovePeer):
+            self.process.maintained.discard(message.address)
+            self.site.break_link(self.process, message.address)
 
 
 class ModelSite:
@@ -340,7 +367,7 @@
         task.add_done_callback(self.background.discard)
 
     def start_entry(self, address: str, zone: str) -> Process:
-        """Start an entry instance and link it to all guards."""
+        """Start an entry instance; it links itself to the guards of its choice."""
         process = Process(self.network, address, zone, "entry")
 
         def on_ready(ready: bool, reason: str) -> None:
@@ -350,23 +377,34 @@
             zone,
             1.5,
             process.send,
-            LinkCloser(self, process),
+            LinkOwner(self, process),
             Mailbox("drained"),
             on_ready,
             self.clock,
             DRAIN_S,
             derive_lease_times(DeploymentTimes()),
+            address,
         )
         dispatcher.queue_order = self.order
         process.start(dispatcher, ENTRY_TICK_S)
         dispatcher.mailbox.put(DirectivesChanged(self.directives))
         self.entries = [e for e in self.entries if e.me.address != address] + [process]
-        for guard in self.guards:
-            self.link(process, guard)
+        members = map(member_of, [*self.entries, *self.guards])
+        dispatcher.mailbox.put(MembersKnown(tuple(members)))
+        self.announce(process)
         return process
 
+    def announce(self, process: Process) -> None:
+        """Tell all entry instances that a process has registered."""
+        for entry in self.entries:
+            asyncio.get_running_loop().call_later(
+                MEMBERS_FEED_DELAY_S,
+                entry.actor.mailbox.put,
+                MembersKnown((member_of(process),)),
+            )
+
     def start_guard(self, address: str, zone: str, target: ModelTarget) -> Process:
-        """Start the guard beside a target and link it to all entry instances."""
+        """Start the guard beside a target, and announce it to all entry instances."""
         process = Process(self.network, address, zone, "guard")
         holder = LeaseHolder(
             process.send,
@@ -381,15 +419,25 @@
         target.replies = holder.mailbox
         process.start(holder, GUARD_TICK_S)
         self.guards = [g for g in self.guards if g.me.address != address] + [process]
+        self.announce(process)
         for entry in self.entries:
-            self.link(entry, process)
+            self.dial(entry, address)
         return process
 
-    def link(self, entry: Process, guard: Process) -> None:
-        """Connect an entry instance and a guard if both are alive.
+    def dial(self, entry: Process, address: str) -> None:
+        """Link an entry instance to a guard, repeatedly until it succeeds."""
+        guard = self.network.processes.get(address)
+        if address not in entry.maintained or (address, entry.me.nonce) in entry.links:
+            return
+        if guard is not None:
+            self.link(entry, guard)
+        if (address, entry.me.nonce) not in entry.links:
+            asyncio.get_running_loop().call_later(
+                REDIAL_DELAY_S, self.dial, entry, address
+            )
 
-        The attempt is repeated while the network is cut or one of them is frozen.
-        """
+    def link(self, entry: Process, guard: Process) -> None:
+        """Connect two processes if both are alive and can reach each other."""
         directions = {
             (entry.me.address, guard.me.address),
             (guard.me.address, entry.me.address),
@@ -397,28 +445,28 @@
         alive = all(
             self.network.processes.get(p.me.address) is p for p in (entry, guard)
         )
-        if not alive:
-            return
-        if directions & self.network.cut_pairs or entry.frozen or guard.frozen:
-            asyncio.get_running_loop().call_later(
-                REDIAL_DELAY_S, self.link, entry, guard
-            )
+        if (
+            not alive
+            or directions & self.network.cut_pairs
+            or entry.frozen
+            or guard.frozen
+        ):
             return
         for one, other in ((entry, guard), (guard, entry)):
             one.links.add((other.me.address, one.me.nonce))
             other.receive(one.me, Hello(one.role, one.zone, one.me.address))
 
     def break_link(self, process: Process, address: str) -> None:
-        """Break a link; it is redialled after `REDIAL_DELAY_S`."""
+        """Break a link of an entry; it is redialled later if it is maintained."""
         peer = self.network.processes.get(address)
         process.links.discard((address, process.me.nonce))
-        if peer is None:
-            return
-        peer.links.discard((process.me.address, peer.me.nonce))
-        if (process.me.address, address) not in self.network.cut_pairs:
-            peer.receive(process.me, LinkDown(process.me.address))
-        entry, guard = (process, peer) if process.role == "entry" else (peer, process)
-        asyncio.get_running_loop().call_later(REDIAL_DELAY_S, self.link, entry, guard)
+        if peer is not None:
+            peer.links.discard((process.me.address, peer.me.nonce))
+            if (process.me.address, address) not in self.network.cut_pairs:
+                peer.receive(process.me, LinkDown(process.me.address))
+        asyncio.get_running_loop().call_later(
+            REDIAL_DELAY_S, self.dial, process, address
+        )
 
     def restart_guard(self, number: int, after_s: float) -> None:
         """Kill a guard and restart it after a delay."""
--- a/hawthorntrack/platform/tests/test_departed_callers.py
+++ b/hawthorntrack/platform/tests/test_departed_callers.py
@@ -151,11 +151,11 @@
         for _ in range(passes):
             await asyncio.sleep(0)
         entry.put_heartbeat(CAPACITY)
-        await entry.wait_until(lambda: ConfirmLease in entry.kinds_sent())
+        await entry.wait_until(lambda: StopRuns in entry.kinds_sent())
 
     play(scenario)
     kinds = entry.kinds_sent()
-    assert StopRuns in kinds[: kinds.index(ConfirmLease)]
+    assert ConfirmLease not in kinds[: kinds.index(StopRuns)]
 
 
 def test_heartbeat_read_just_before_the_end_of_the_callers_connection_waits_for_it(
@@ -183,14 +183,14 @@
         await asyncio.sleep(0)
         guard.send(b"x")
         caller.close()
-        await entry.wait_until(lambda: ConfirmLease in entry.kinds_sent())
+        await entry.wait_until(lambda: StopRuns in entry.kinds_sent())
         loop.remove_reader(link)
         link.close()
         guard.close()
 
     play(scenario)
     kinds = entry.kinds_sent()
-    assert StopRuns in kinds[: kinds.index(ConfirmLease)]
+    assert ConfirmLease not in kinds[: kinds.index(StopRuns)]
 
 
 @pytest.mark.parametrize("passes", range(4))
--- a/hawthorntrack/platform/tests/test_foreign_bodies.py
+++ b/hawthorntrack/platform/tests/test_foreign_bodies.py
@@ -18,13 +18,13 @@
     DispatcherHarness,
 )
 from hawthorntrack.coordination.tests.test_store_watcher import Harness
+from hawthorntrack.coordination.working_set import WorkingSet
 from hawthorntrack.platform import formats
 from hawthorntrack.platform.entry_http import DEADLINE_HEADER, request_deadline_s
 from hawthorntrack.platform.formats import Malformed
 from hawthorntrack.platform.targets import HeartbeatHandler, TargetCalls
 from hawthorntrack.platform.tests.conftest import NON_JSON_VALUES, with_field
 from hawthorntrack.protocol.codec import codecs
-from hawthorntrack.protocol.links import MaintainLink
 from hawthorntrack.protocol.messages import Envelope
 from hawthorntrack.protocol.target_messages import (
     RenewLeaseOrder,
@@ -247,9 +247,9 @@
         9,
     )
     harness.watcher.handle(StoreAnswer("members", True, changes))
-    queue = harness.links.queue
-    orders = [queue.get_nowait() for _ in range(queue.qsize())]
-    return [order.address for order in orders if isinstance(order, MaintainLink)]
+    working_set = WorkingSet("10.9.9.9:1", "recife", 160)
+    working_set.add_members(harness.known_members())
+    return working_set.review(1.0, lambda address: False, (), ()).dial
 
 
 @pytest.mark.parametrize("field", ["role", "zone", "node", "more"])
--- a/hawthorntrack/protocol/local.py
+++ b/hawthorntrack/protocol/local.py
@@ -5,6 +5,7 @@
 
 from hawthorntrack.protocol.bodies import AnnouncementBody
 from hawthorntrack.state.control_view import ControlView
+from hawthorntrack.state.directives import Member
 from hawthorntrack.state.started_tasks import TaskKey
 from hawthorntrack.state.table import ReadResult, WriteOutcome
 from hawthorntrack.state.values import (
@@ -22,6 +23,12 @@
     view: ControlView
 
 
+class MembersKnown(NamedTuple):
+    """These processes have registered, again or for the first time."""
+
+    members: tuple[Member, ...]
+
+
 class NewerStampSeen(NamedTuple):
     """A peer's message carried a newer configuration version than this process's."""
 
--- a/hawthorntrack/state/metrics.py
+++ b/hawthorntrack/state/metrics.py
@@ -24,6 +24,9 @@
 LOG_LINES_DROPPED = Counter(
     "hawthorntrack_log_lines_dropped", "Log lines dropped by rate limit.", ["event"]
 )
+GUARD_LINKS = Gauge(
+    "hawthorntrack_guard_links", "Guards of an entry instance's working set.", ["state"]
+)
 CLAIMS = Counter("hawthorntrack_slot_claims", "Slot claims begun.", ["reason"])
 SLOTS = Gauge("hawthorntrack_slots", "Slots by role of this guard.", ["phase"])
 QUEUED = Gauge("hawthorntrack_queued_tasks", "Tasks waiting.", ["where"])
--- a/hawthorntrack/state/node_settings.py
+++ b/hawthorntrack/state/node_settings.py
@@ -17,6 +17,9 @@
 Seconds = Annotated[float, msgspec.Meta(ge=0)]
 Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=600_000)]
 Factor = Annotated[float, msgspec.Meta(ge=1)]
+LinkCount = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
+# A tenth of the descriptors of the smallest machines that entry instances run on.
+MAX_GUARD_LINKS = 160
 
 
 class NodeListenBody(TypedDict):
@@ -43,6 +46,7 @@
     caller_retry_ms: NotRequired[Milliseconds | None]
     max_target_lease_ms: NotRequired[Milliseconds | None]
     stop_ms: NotRequired[Milliseconds | None]
+    max_guard_links: NotRequired[LinkCount]
 
 
 class NodeSettings(NamedTuple):
@@ -72,6 +76,8 @@
         Factor on the run time of a task that runs outside the rack of its data.
     lease_times : LeaseTimes
         Durations of leases, which follow from the deployment's times.
+    max_guard_links : int
+        Largest number of guards that an entry instance keeps links to.
     """
 
     node: str
@@ -87,6 +93,7 @@
     grace_s: float
     far_factor: float
     lease_times: LeaseTimes
+    max_guard_links: int
 
 
 def parse_node_settings(data: Any, source: str) -> NodeSettings:
@@ -120,6 +127,7 @@
         grace_s=body.get("grace_s", 6.0),
         far_factor=body.get("far_factor", 1.0),
         lease_times=check_lease_times(body, source),
+        max_guard_links=body.get("max_guard_links", MAX_GUARD_LINKS),
     )
 
 
