Start each role with its own modules, and count control messages by size

While processes register one by one, the number of entry instances looks too low, and each instance linked itself to far more guards than it needs: 223 of 246 links in the simulated site 3 s after the start.

--- a/hawthorntrack/coordination/working_set.py
+++ b/hawthorntrack/coordination/working_set.py
@@ -16,20 +16,22 @@
 from hawthorntrack.state.directives import Member
 
 # Holds several jobs of the widest kind beside the runs of other entry instances.
-MIN_SET_SIZE = 24
+MIN_SET_SIZE = 26
 # Each guard is in the working sets of about this many entry instances, so that its
 # target gets work although some of them have no callers.
-SETS_PER_GUARD = 6
+SETS_PER_GUARD = 5
 # A guard that cannot be used for this long is replaced by the next in order.
 SUBSTITUTION_DELAY_S = 1.0
 # A new link to a guard that is alive is up within a few round trips.
-FIRST_LINK_ALLOWANCE_S = 0.3
+FIRST_LINK_ALLOWANCE_S = 0.2
 # A guard without a link for this long gives up its place, and is dialled again at this
 # interval.
 DIAL_PATIENCE_S = 30.0
 # Guards that are no longer needed keep their links for this long, so that short
 # failures and short bursts do not open and close links all the time.
 SURPLUS_LINGER_S = 5.0
+# A set that must be larger than `MIN_SET_SIZE` grows by one guard at this interval.
+GROWTH_INTERVAL_S = 0.1
 # While jobs wait, this many guards are added at each review.
 EXTENSION_STEP = 4
 # The extension ends this long after the last job waited.
@@ -42,7 +44,7 @@
     Examples
     --------
     >>> set_size(3, 11, 256), set_size(35, 160, 256), set_size(53, 246, 256)
-    (11, 28, 28)
+    (11, 26, 26)
     """
     covering = math.ceil(SETS_PER_GUARD * guards / max(1, entries))
     return min(guards, max_links, max(MIN_SET_SIZE, covering))
@@ -95,7 +97,7 @@
     Examples
     --------
     >>> next_place(None, False, 10.0)
-    Place(unusable_since=10.0, counts_until=10.3)
+    Place(unusable_since=10.0, counts_until=10.2)
     >>> next_place(USABLE, False, 20.0)
     Place(unusable_since=20.0, counts_until=21.0)
     """
@@ -141,6 +143,8 @@
         When guards that are still linked left the set.
     resting_until : dict of str to float
         Guards that gave up their place because they could not be linked.
+    size_limit : int
+        Size up to which the set has grown so far.
     extension : int
         Number of guards by which the set is larger because jobs wait.
     """
@@ -156,6 +160,8 @@
         self.dialled: set[str] = set()
         self.surplus_since: dict[str, float] = {}
         self.resting_until: dict[str, float] = {}
+        self.size_limit = MIN_SET_SIZE
+        self.grows_at = -math.inf
         self.extension = 0
         self.extended_until = -math.inf
         self.short = False
@@ -223,7 +229,7 @@
 
     def wanted_size(self, now: float) -> int:
         """Return the size of the set, extended up to twofold while jobs wait."""
-        size = set_size(len(self.entries), len(self.guards), self.max_links)
+        size = self.settled_size(now)
         if self.short:
             self.short = False
             self.extension = min(size, self.extension + EXTENSION_STEP)
@@ -232,6 +238,21 @@
             self.extension = 0
         return size + self.extension
 
+    def settled_size(self, now: float) -> int:
+        """Return the size of the set without extension.
+
+        Explanation
+        -----------
+        Load pattern: all processes start at once. As long as few entry instances are
+        known, each seems to be needed for many guards, so the size grows slowly.
+        """
+        size = set_size(len(self.entries), len(self.guards), self.max_links)
+        if size > self.size_limit and now >= self.grows_at:
+            self.size_limit += 1
+            self.grows_at = now + GROWTH_INTERVAL_S
+        self.size_limit = max(MIN_SET_SIZE, min(size, self.size_limit))
+        return min(size, self.size_limit)
+
     def released(self, now: float, candidates: Iterable[str]) -> list[str]:
         """Return the candidates that have been outside of the set for long enough."""
         self.surplus_since = {
--- a/hawthorntrack/daemon/node.py
+++ b/hawthorntrack/daemon/node.py
@@ -1,32 +1,23 @@
-"""Entry instance and guard processes on the users' platform."""
+"""The parts common to entry instances and guards on the users' platform."""
 
 import asyncio
 import secrets
 import signal
-import time
 from typing import Any
 
-from hawthorntrack.coordination.dispatcher import Dispatcher
-from hawthorntrack.coordination.leaseholder import LeaseHolder
 from hawthorntrack.coordination.store_watcher import StoreWatcher
-from hawthorntrack.coordination.target_record import TargetRecord
-from hawthorntrack.platform.entry_http import CallersHandler, ReadinessHandler
 from hawthorntrack.platform.formats import (
     decode_member_rows,
     decode_operator_rows,
-    decode_target_row,
     encode_member,
-    encode_target_row,
 )
 from hawthorntrack.platform.store import PlatformStore
-from hawthorntrack.platform.targets import HeartbeatHandler, TargetCalls
 from hawthorntrack.protocol.codec import codecs
 from hawthorntrack.protocol.links import Send
 from hawthorntrack.protocol.local import Drain, DrainDeadlinePassed, NewerStampSeen
 from hawthorntrack.protocol.messages import Envelope, bus_message_types
 from hawthorntrack.protocol.run_messages import Hello
 from hawthorntrack.state.actor import Actor, Delivery
-from hawthorntrack.state.clock import seconds_awake, seconds_since_boot
 from hawthorntrack.state.directives import Member
 from hawthorntrack.state.event_log import log_event
 from hawthorntrack.state.mailbox import Mailbox, tick
@@ -36,8 +27,6 @@
 from hawthorntrack.transport.http_server import HttpServer, show_metrics
 from hawthorntrack.transport.streams import StreamBus
 
-DISPATCHER_TICK_S = 0.02  # upper bound on the delay of a refusal
-GUARD_TICK_S = 0.1
 # Part of the grace period that is reserved for closing sockets after the drain, before
 # the platform kills the process.
 SHUTDOWN_RESERVE_S = 0.9
@@ -183,73 +172,3 @@
         except TimeoutError:
             return True
         return False
-
-
-async def run_entry_node(settings: NodeSettings, settings_path: str) -> None:
-    """Run an entry instance until it is stopped."""
-    node = Node(settings, settings_path, "entry")
-    readiness = ReadinessHandler()
-
-    def on_ready(is_ready: bool, reason: str) -> None:
-        if is_ready != readiness.ready:
-            log_event("process:ready" if is_ready else "process:busy", reason=reason)
-        readiness.ready = is_ready
-        callers_handler.close_connections = reason == "draining"
-
-    dispatcher = Dispatcher(
-        settings.zone,
-        settings.far_factor,
-        node.send,
-        node.bus.mailbox,
-        node.drained,
-        on_ready,
-        seconds_since_boot,
-        settings.grace_s - SHUTDOWN_RESERVE_S,
-        settings.lease_times,
-        settings.advertised,
-        settings.max_guard_links,
-    )
-    callers_handler = CallersHandler(dispatcher.mailbox)
-    node.bus.listeners.append(dispatcher.mailbox)
-    store_watcher = node.add_store_watcher([dispatcher.mailbox])
-    node.add_routes(dispatcher)
-    node.servers += [
-        HttpServer(settings.callers, callers_handler.answer),
-        HttpServer(settings.balancer, readiness.answer),
-    ]
-    await node.run(
-        [node.bus, store_watcher, dispatcher],
-        (dispatcher, DISPATCHER_TICK_S),
-        dispatcher,
-    )
-
-
-async def run_guard_node(settings: NodeSettings, settings_path: str) -> None:
-    """Run a guard until it is stopped."""
-    node = Node(settings, settings_path, "guard")
-    target_calls = TargetCalls(Mailbox("unbound"))
-    target_record = TargetRecord(
-        settings.advertised,
-        node.store,
-        encode_target_row,
-        decode_target_row,
-        Mailbox("unbound"),
-    )
-    lease_holder = LeaseHolder(
-        node.send,
-        target_calls.mailbox,
-        target_record.mailbox,
-        node.drained,
-        seconds_since_boot,
-        int(time.time() * 1000),
-        settings.lease_times,
-        seconds_awake,
-    )
-    target_calls.replies = target_record.holder = lease_holder.mailbox
-    node.bus.listeners.append(lease_holder.mailbox)
-    store_watcher = node.add_store_watcher([])
-    node.add_routes(lease_holder)
-    heartbeat_handler = HeartbeatHandler(lease_holder.mailbox)
-    node.servers.append(HttpServer(settings.target, heartbeat_handler.answer))
-    actors = [node.bus, store_watcher, lease_holder, target_calls, target_record]
-    await node.run(actors, (lease_holder, GUARD_TICK_S), lease_holder)
--- a/hawthorntrack/daemon/noded.py
+++ b/hawthorntrack/daemon/noded.py
@@ -3,21 +3,40 @@
 import asyncio
 import os
 import sys
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 import click
 
 from hawthorntrack.daemon.logs import start_pipe_log
-from hawthorntrack.daemon.node import run_entry_node, run_guard_node
 from hawthorntrack.platform.formats import SETTINGS_PATH_VARIABLE
-from hawthorntrack.state.node_settings import load_node_settings
+from hawthorntrack.state.node_settings import NodeSettings, load_node_settings
 from hawthorntrack.state.registry import Registry
 from hawthorntrack.state.validation import InvalidInput
 
 EXIT_BAD_SETTINGS = 2
 
-roles: Registry = Registry("role")
-roles.register("entry")(run_entry_node)
-roles.register("guard")(run_guard_node)
+# Each role imports only its own modules: a guard is one of hundreds of processes, and
+# the memory and start-up time of each count.
+roles: Registry[Callable[[NodeSettings, str], Coroutine[Any, Any, None]]] = Registry(
+    "role"
+)
+
+
+@roles.register("entry")
+async def run_entry(settings: NodeSettings, settings_path: str) -> None:
+    """Run an entry instance until it is stopped."""
+    from hawthorntrack.daemon.entry_node import run_entry_node
+
+    await run_entry_node(settings, settings_path)
+
+
+@roles.register("guard")
+async def run_guard(settings: NodeSettings, settings_path: str) -> None:
+    """Run a guard until it is stopped."""
+    from hawthorntrack.daemon.guard_node import run_guard_node
+
+    await run_guard_node(settings, settings_path)
 
 
 @click.command()
--- a/hawthorntrack/experiment/main.py
+++ b/hawthorntrack/experiment/main.py
@@ -12,6 +12,7 @@
 from hawthorntrack.experiment.bench import run_bench
 from hawthorntrack.experiment.capacity import capacity_lines, slope_lines
 from hawthorntrack.experiment.demo import answer_line, find_problems
+from hawthorntrack.experiment.fleet_costs import measure_fleet
 from hawthorntrack.experiment.launcher import Fleet
 from hawthorntrack.experiment.layout import deployments
 from hawthorntrack.experiment.model_faults import troubles
@@ -158,6 +159,26 @@
     sys.exit(1 if model.violations else 0)
 
 
+@main.command()
+@click.option("--machines", "sizes", multiple=True, type=int, default=(30, 100, 300))
+@click.option("--load", default=0.0, show_default=True, help="Factor on arrivals.")
+@click.option("--seconds", default=2.0, show_default=True, help="Simulated time.")
+@click.option("--seed", default=1, show_default=True)
+def fleet(sizes: tuple[int, ...], load: float, seconds: float, seed: int) -> None:
+    """Count the control messages of a process at several sizes of a site."""
+    for machines in sizes:
+        cost = measure_fleet(machines, load, seconds, seed)
+        click.echo(f"{cost.entries} entry instances, {cost.guards} guards")
+        for role in ("entry", "guard"):
+            click.echo(
+                f"  {role}: {cost.links[role]:.1f} links; sent a second "
+                f"{cost.messages(role):.1f} messages, "
+                f"{cost.sent_bytes.get(role, 0.0) / 1000:.2f} kB"
+            )
+        for (role, kind), rate in cost.sent.items():
+            click.echo(f"    {role:5} {kind:14} {rate:8.1f}")
+
+
 @main.command()
 @click.option("--seed", "first", default=1, show_default=True)
 @click.option("--seeds", default=1, show_default=True, help="Number of seeds, in turn.")
--- a/hawthorntrack/protocol/logfmt.py
+++ b/hawthorntrack/protocol/logfmt.py
@@ -4,6 +4,8 @@
 from typing import Any, TextIO
 
 OMITTED = {"task_uuid", "task_level", "message_type", "timestamp"}
+# A value with one of these characters, or with one that is not printable, is quoted.
+QUOTED = ' ="\\'
 
 
 def render_value(value: Any) -> str:
@@ -15,7 +17,7 @@
     ('plain', '"two words"')
     """
     text = value if isinstance(value, str) else str(value)
-    needs_quotes = not text or any(c in ' ="\\' or not c.isprintable() for c in text)
+    needs_quotes = not text or not text.isprintable() or any(c in text for c in QUOTED)
     return json.dumps(text) if needs_quotes else text
 
 
