--- a/hawthorntrack/experiment/model_faults.py
+++ b/hawthorntrack/experiment/model_faults.py
@@ -4,6 +4,7 @@
 import itertools
 from collections.abc import Awaitable, Callable
 
+from hawthorntrack.coordination.working_set import SURPLUS_LINGER_S
 from hawthorntrack.experiment.model_site import ModelSite
 from hawthorntrack.state.registry import Registry
 
@@ -19,6 +20,7 @@
 # Longer than an owner waits for a silent guard, shorter than any order is late.
 MIN_FREEZE_S = 1.2
 MAX_FREEZE_S = 1.8
+SETS_CHANGE_INTERVAL_S = 0.15
 
 
 @trouble("none")
@@ -92,6 +94,56 @@
         await asyncio.sleep(0.2)
 
 
+async def change_working_sets(site: ModelSite, until: float) -> None:
+    """Give each entry instance another half of the guards several times a second.
+
+    Explanation
+    -----------
+    Guards leave a set with runs at work, return to it meanwhile, and are in the sets
+    of several entry instances.
+    """
+    while site.clock() < until:
+        for entry in site.entries:
+            working_set = entry.actor.working_set
+            working_set.max_links = len(site.guards) // 2
+            site.rng.shuffle(working_set.order)
+            long_ago = site.clock() - SURPLUS_LINGER_S
+            working_set.surplus_since = dict.fromkeys(working_set.dialled, long_ago)
+        await asyncio.sleep(SETS_CHANGE_INTERVAL_S)
+
+
+@trouble("sets_change")
+async def sets_change(site: ModelSite) -> None:
+    """Change the working sets all the time."""
+    await asyncio.sleep(START_DELAY_S)
+    await change_working_sets(site, site.clock() + FAULT_DURATION_S)
+
+
+@trouble("sets_change_under_faults")
+async def sets_change_under_faults(site: ModelSite) -> None:
+    """Change the working sets while guards and entry instances freeze and restart."""
+    await asyncio.sleep(START_DELAY_S)
+    site.spawn(change_working_sets(site, site.clock() + FAULT_DURATION_S))
+    for number, guard in enumerate(site.guards[:8]):
+        guard.freeze()
+        asyncio.get_running_loop().call_later(
+            site.rng.uniform(MIN_FREEZE_S, MAX_FREEZE_S), guard.thaw
+        )
+        if number % 3 == 0:
+            site.restart_entry(number // 3, 0.3)
+        await asyncio.sleep(FAULT_DURATION_S / 8)
+
+
+@trouble("links_silent")
+async def links_silent(site: ModelSite) -> None:
+    """Cut an entry instance off from half of the guards without a reset."""
+    await asyncio.sleep(START_DELAY_S)
+    site.cut_off(site.entries[0], site.guards[::2])
+    await asyncio.sleep(FAULT_DURATION_S)
+    site.network.cut_pairs.clear()
+    site.network.held_messages.clear()
+
+
 def target_fault(name: str, count: int, share: float) -> None:
     """Register a fault that `count` targets show for a while."""
 
--- a/hawthorntrack/experiment/model_site.py
+++ b/hawthorntrack/experiment/model_site.py
@@ -299,6 +299,8 @@
         The answer to each job.
     violations : list of str
         Tasks that had two runs in progress at the same time.
+    first_runs : dict of str to float
+        Time of the first run on each target.
     """
 
     def __init__(self, site: Site, seed: int, order: str = DEFAULT_ORDER) -> None:
@@ -312,6 +314,7 @@
         self.ready: dict[str, bool] = {}
         self.running: dict[TaskName, set[str]] = defaultdict(set)
         self.violations: list[str] = []
+        self.first_runs: dict[str, float] = {}
         self.counts: dict[str, Counter] = defaultdict(Counter)
         self.job_numbers = itertools.count()
         self.background: set[asyncio.Task] = set()
@@ -345,20 +348,26 @@
         """Start all processes."""
         for number, zone in enumerate(self.site.zones):
             self.start_entry(f"entry-{number}:1", zone)
-        for number, slowness in enumerate(self.site.slowness):
-            zone = self.site.zones[number % len(self.site.zones)]
-            target = ModelTarget(
-                f"t{number}",
-                zone,
-                self.site.target,
-                slowness,
-                self.rng,
-                self.on_run_started,
-                self.on_run_ended,
-            )
-            self.targets.append(target)
-            self.spawn(target.send_heartbeats())
-            self.start_guard(f"guard-{number}:1", zone, target)
+        for slowness in self.site.slowness:
+            self.add_target(slowness)
+
+    def add_target(self, slowness: float) -> ModelTarget:
+        """Start a target and the guard beside it; the target has no runs yet."""
+        number = len(self.targets)
+        zone = self.site.zones[number % len(self.site.zones)]
+        target = ModelTarget(
+            f"t{number}",
+            zone,
+            self.site.target,
+            slowness,
+            self.rng,
+            self.on_run_started,
+            self.on_run_ended,
+        )
+        self.targets.append(target)
+        self.spawn(target.send_heartbeats())
+        self.start_guard(f"guard-{number}:1", zone, target)
+        return target
 
     def spawn(self, work: Any) -> None:
         """Run a coroutine in the background until the site is closed."""
@@ -496,6 +505,7 @@
 
     def on_run_started(self, target: ModelTarget, name: RunName) -> None:
         """Check that no other run of the task is in progress."""
+        self.first_runs.setdefault(target.name, self.clock())
         others = self.running[name.task]
         if others:
             self.violations.append(f"{name} on {target.name} beside {sorted(others)}")
