--- a/hawthorntrack/experiment/main.py
+++ b/hawthorntrack/experiment/main.py
@@ -31,6 +31,7 @@
 from hawthorntrack.experiment.summary import summary_lines
 from hawthorntrack.experiment.trace import read_trace
 from hawthorntrack.standins.serving import wait_for_stop_signal
+from hawthorntrack.state.node_settings import MAX_GUARD_LINKS
 
 
 @click.group()
@@ -187,6 +188,12 @@
 @click.option("--guards", default=8, show_default=True)
 @click.option("--callers", default=CALLERS, show_default=True)
 @click.option("--block", default=0, show_default=True, help="Block of addresses.")
+@click.option(
+    "--links",
+    default=MAX_GUARD_LINKS,
+    show_default=True,
+    help="Largest number of guards that an entry instance is linked to.",
+)
 @click.option(
     "--fault",
     "faults",
@@ -202,12 +209,13 @@
     guards: int,
     callers: int,
     block: int,
+    links: int,
     faults: tuple[str, ...],
 ) -> None:
     """Run real processes through random faults; exit 1 if a guarantee is violated."""
     broken = []
     for seed in range(first, first + seeds):
-        played = Soak(seed, seconds, entries, guards, block, callers, faults)
+        played = Soak(seed, seconds, entries, guards, block, callers, faults, links)
         report = asyncio.run(played.run())
         found = f"{len(report.faults)} faults, {report.answers}, {report.stalls} stalls"
         click.echo(f"seed {seed}: {found}")
--- a/hawthorntrack/experiment/soak.py
+++ b/hawthorntrack/experiment/soak.py
@@ -15,6 +15,7 @@
 from hawthorntrack.experiment.soak_site import HOST, SoakNode, SoakSite
 from hawthorntrack.platform.entry_http import DEADLINE_HEADER
 from hawthorntrack.platform.standins import job_body
+from hawthorntrack.state.node_settings import MAX_GUARD_LINKS
 from hawthorntrack.state.plans import JobPlan, RunName, StepSpec, TaskName
 from hawthorntrack.state.resources import Resources
 
@@ -148,6 +149,8 @@
         Number of callers that submit jobs.
     faults : sequence of str
         Names of the faults to inject; all registered faults if empty.
+    max_guard_links : int
+        Largest number of guards that an entry instance keeps links to.
     """
 
     def __init__(
@@ -159,6 +162,7 @@
         block: int = 0,
         callers: int = CALLERS,
         faults: Sequence[str] = (),
+        max_guard_links: int = MAX_GUARD_LINKS,
     ) -> None:
         self.seed = seed
         self.faults = faults or soak_faults.names()
@@ -166,7 +170,9 @@
         self.callers = callers
         self.rng = random.Random(seed)
         self.checker = PromiseChecker()
-        self.site = SoakSite(entries, guards, seed, block, self.checker)
+        self.site = SoakSite(
+            entries, guards, seed, block, self.checker, max_guard_links
+        )
         self.checker.site = self.site
         self.site.queue_listener = self.on_queue_changed
         self.answers: Counter[str] = Counter()
--- a/hawthorntrack/experiment/soak_site.py
+++ b/hawthorntrack/experiment/soak_site.py
@@ -21,6 +21,7 @@
 from hawthorntrack.platform.entry_http import READY_PATH
 from hawthorntrack.platform.standins import StandInStore, TargetEndpoint
 from hawthorntrack.state.catalogue import Catalogue, Queue, Service
+from hawthorntrack.state.node_settings import MAX_GUARD_LINKS
 from hawthorntrack.state.resources import Resources
 from hawthorntrack.transport.http_server import HttpServer
 
@@ -112,11 +113,20 @@
         Number of the block of loopback addresses; concurrent sites need different ones.
     watcher : Any
         Object whose `on_run_started` and `on_run_ended` the targets call.
+    max_guard_links : int
+        Largest number of guards that an entry instance keeps links to.
     """
 
     def __init__(
-        self, entries: int, guards: int, seed: int, block: int, watcher: Any
+        self,
+        entries: int,
+        guards: int,
+        seed: int,
+        block: int,
+        watcher: Any,
+        max_guard_links: int = MAX_GUARD_LINKS,
     ) -> None:
+        self.max_guard_links = max_guard_links
         self.rng = random.Random(seed)
         self.block = block
         self.watcher = watcher
@@ -242,6 +252,7 @@
             "seeds": [entry.relays["peers"].listen for entry in self.role("entry")],
             "grace_s": GRACE_S,
             "far_factor": 1.5,
+            "max_guard_links": self.max_guard_links,
         }
         path = self.folder / f"{node.name}.yaml"
         path.write_text(yaml.safe_dump(body, sort_keys=False))
--- a/hawthorntrack/experiment/tests/test_soak.py
+++ b/hawthorntrack/experiment/tests/test_soak.py
@@ -24,6 +24,14 @@
     # Targets with two lost answers were never called again.
     (25, ("targets_crash",)),
 )
+# Links of each entry instance to the eight guards.
+LINKS = 4
+PARTIAL_SET_CASES = (
+    # Links between processes fall silent without a reset, in one or both directions.
+    (1, ("cut_peers", "one_way_peers", "deaf_peers")),
+    # Entry instances and guards restart while runs are at work.
+    (2, ("kill", "restart", "freeze")),
+)
 
 
 @pytest.fixture
@@ -122,3 +130,17 @@
     assert report.violations == []
     assert report.answers.get("completed", 0) > 0
     assert Path(report.folder).exists()
+
+
+@pytest.mark.timeout(120)
+@pytest.mark.xdist_group("soak")
+@pytest.mark.parametrize(("seed", "faults"), PARTIAL_SET_CASES)
+def test_promises_are_kept_with_partial_working_sets(base_port, seed, faults):
+    """Callers resubmit to instances without links to the guards of their runs."""
+    block = (base_port // 1_000) % 40
+    soak = Soak(
+        seed, 6.0, block=block, callers=16, faults=faults, max_guard_links=LINKS
+    )
+    report = asyncio.run(soak.run())
+    assert report.violations == []
+    assert report.answers.get("completed", 0) > 0
