Try slow targets in time although no message arrives

Cause: a placement follows only a message of a guard with room since working sets came in. A slow target that jobs avoid at first sends one in 0.2 s, and a job that may wait for 0.28 s was refused before.

Change: ticks place while a guard has room for the smallest waiting task.

Test: test_slow_place_is_taken_in_time_although_no_message_arrives failed before.

--- a/hawthorntrack/coordination/dispatcher.py
+++ b/hawthorntrack/coordination/dispatcher.py
@@ -513,6 +513,10 @@
         for key in self.expired_run_numbers(now - RUN_NUMBERS_RETENTION_S):
             del self.used_run_numbers[key]
         self.request_capacity_updates(bool(self.waiting_jobs))
+        if self.waiting_jobs:
+            # Slow targets may be used once a job has waited for most of its time.
+            for peer in self.available_peers(now):
+                self.place_if_useful(peer)
         self.review_links_if_due(now)
         self.report_ready()
         self.report_drained()
--- a/hawthorntrack/coordination/tests/test_dispatcher.py
+++ b/hawthorntrack/coordination/tests/test_dispatcher.py
@@ -582,6 +582,17 @@
     assert {to for to, _ in entry_without_guards.take_starts()} == {GUARD_1.address}
 
 
+def test_slow_place_is_taken_in_time_although_no_message_arrives(entry_without_guards):
+    """Messages of the full targets lead to no placement any more."""
+    entry_without_guards.connect_guard(GUARD_1, slowness=7.0)
+    entry_without_guards.connect_guard(GUARD_2, free=Resources())
+    entry_without_guards.connect_guard(GUARD_3, free=Resources())
+    reply = entry_without_guards.submit()
+    entry_without_guards.advance(0.26)
+    assert not reply.done()
+    assert {to for to, _ in entry_without_guards.take_starts()} == {GUARD_1.address}
+
+
 def test_queues_share_scarce_capacity_equally(entry):
     """Load pattern: one queue needs many times the capacity of the other."""
     entry.send_heartbeat(GUARD_1, free=Resources())
