Bound the links of a set whose guards cannot be used yet

Cause: guards whose targets have not announced themselves were replaced by the next ones, without end.

Change: at most twice as many guards as wanted; surplus guards that cannot be used are released at once.

Test: test_few_links_are_opened_while_no_target_has_announced_itself failed before.

--- a/hawthorntrack/coordination/tests/test_working_set.py
+++ b/hawthorntrack/coordination/tests/test_working_set.py
@@ -36,6 +36,7 @@
         self.members = [member("entry", n) for n in range(entries)]
         self.members += [member("guard", n) for n in range(guards)]
         self.down = set()
+        self.absent = set()
         self.linked = set()
         first = self.members[0]
         self.set = WorkingSet(first.address, first.zone, max_links)
@@ -49,7 +50,10 @@
             if short:
                 self.set.note_shortage()
             changes = self.set.review(
-                self.time, lambda a: a in self.linked, self.linked, self.linked
+                self.time,
+                lambda a: a in self.linked and a not in self.absent,
+                self.linked,
+                self.linked,
             )
             self.linked |= self.set.dialled - self.down
             for address in changes.release:
@@ -167,6 +171,23 @@
     assert len(large_set.linked) == size
 
 
+def test_few_links_are_opened_while_no_target_has_announced_itself():
+    """Load pattern: a large site starts, and targets announce themselves seconds later.
+
+    Every entry instance was linked to most of the guards for seven seconds.
+    """
+    harness = SetHarness(35, 0)
+    most = 0
+    for number in range(160):
+        guard = member("guard", number)
+        harness.absent.add(guard.address)
+        harness.set.add_members([guard])
+        harness.review()
+        most = max(most, len(harness.linked))
+    harness.review_for(2.0)
+    assert max(most, len(harness.linked)) <= 2 * set_size(35, 160, MAX_LINKS)
+
+
 def test_set_never_exceeds_the_limit_on_links():
     harness = SetHarness(3, 500, max_links=40)
     harness.review_for(3.0, short=True)
--- a/hawthorntrack/coordination/working_set.py
+++ b/hawthorntrack/coordination/working_set.py
@@ -24,6 +24,8 @@
 SUBSTITUTION_DELAY_S = 1.0
 # A new link to a guard that is alive is up within a few round trips.
 FIRST_LINK_ALLOWANCE_S = 0.2
+# Where no guard can be used, as at a start, more substitutes would not help.
+MAX_SUBSTITUTION_FACTOR = 2
 # A guard without a link for this long gives up its place, and is dialled again at this
 # interval.
 DIAL_PATIENCE_S = 30.0
@@ -211,9 +213,10 @@
         """
         previous, self.chosen = self.chosen, {}
         wanted = self.wanted_size(now)
+        limit = min(self.max_links, MAX_SUBSTITUTION_FACTOR * wanted)
         serving = 0
         for address in self.order:
-            if serving >= wanted or len(self.chosen) >= self.max_links:
+            if serving >= wanted or len(self.chosen) >= limit:
                 break
             if self.resting_until.get(address, -math.inf) > now:
                 continue
@@ -225,7 +228,8 @@
             serving += now < place.counts_until
         dial = [address for address in self.chosen if address not in self.dialled]
         self.dialled.update(dial)
-        return LinkChanges(dial, self.released(now, {*self.dialled, *recorded}))
+        candidates = {*self.dialled, *recorded}
+        return LinkChanges(dial, self.released(now, candidates, is_usable))
 
     def wanted_size(self, now: float) -> int:
         """Return the size of the set, extended up to twofold while jobs wait."""
@@ -253,8 +257,16 @@
         self.size_limit = max(MIN_SET_SIZE, min(size, self.size_limit))
         return min(size, self.size_limit)
 
-    def released(self, now: float, candidates: Iterable[str]) -> list[str]:
-        """Return the candidates that have been outside of the set for long enough."""
+    def released(
+        self, now: float, candidates: Iterable[str], is_usable: Callable[[str], bool]
+    ) -> list[str]:
+        """Return the candidates whose links are not needed any more.
+
+        Explanation
+        -----------
+        A usable guard is kept for `SURPLUS_LINGER_S` after it left the set. Others left
+        it for one that is preferred, as happens while guards register one by one.
+        """
         self.surplus_since = {
             address: self.surplus_since.get(address, now)
             for address in candidates
@@ -263,7 +275,7 @@
         return [
             address
             for address, since in self.surplus_since.items()
-            if now - since >= SURPLUS_LINGER_S
+            if now - since >= SURPLUS_LINGER_S or not is_usable(address)
         ]
 
     def forget_link(self, address: str) -> None:
