Give new targets work before busy ones

What callers saw: new, empty targets sat idle while jobs waited for older ones.

Cause: a guard reported a slowness of 1.0 until it had measured runs, and targets that run at 0.7 counted as faster than a new one of the same kind, however busy they were. Ruled out: the status of a new target reaches all entry instances in milliseconds (target:new to run:taken 0.07 s where jobs found no room elsewhere).

Change: the slowness is 0 until a run was measured, and entry instances then assume that of the fastest target; the first runs weigh more in the average.

--- a/hawthorntrack/coordination/run_placement.py
+++ b/hawthorntrack/coordination/run_placement.py
@@ -18,7 +18,10 @@
     FairShares,
     slowness_limit,
 )
-from hawthorntrack.coordination.target_selection import choose_target
+from hawthorntrack.coordination.target_selection import (
+    assume_slowness,
+    choose_target,
+)
 from hawthorntrack.coordination.working_set import WorkingSet
 from hawthorntrack.protocol.run_messages import (
     CheckRuns,
@@ -57,6 +60,8 @@
 # time, which equals two and a half guard heartbeat intervals.
 CAPACITY_UPDATES_LINGER_S = 0.5
 FAILURE_ENDINGS = {"failed"}
+# Slowness of all targets as long as none has been measured.
+NOMINAL_SLOWNESS = 1.0
 
 
 class RunPlacement(GuardLinks):
@@ -165,9 +170,16 @@
             jobs.sort(key=lambda job: self.queue_order.key(self.waiting_job(job)))
         batches: dict[tuple[str, str], list[RunOrder]] = defaultdict(list)
         heads = {name: iter(jobs) for name, jobs in queues.items()}
-        median_slowness = median(
-            candidate.target_status.slowness for candidate in candidates.values()
-        )
+        measured = [
+            candidate.target_status.slowness
+            for candidate in candidates.values()
+            if candidate.target_status.slowness
+        ] or [NOMINAL_SLOWNESS]
+        median_slowness = median(measured)
+        candidates = {
+            address: assume_slowness(candidate, min(measured))
+            for address, candidate in candidates.items()
+        }
         while heads:
             name = self.shares.lowest(heads)
             job = next(heads[name], None)
--- a/hawthorntrack/coordination/run_reconciler.py
+++ b/hawthorntrack/coordination/run_reconciler.py
@@ -43,7 +43,7 @@
 NO_PROGRESS_LIMIT_S = 0.35
 # While answers are lost, the ends of runs may be reported up to this much late.
 SLOWNESS_SAMPLING_PAUSE_S = 1.0
-# Weight of the newest run in the moving average.
+# Weight of the newest run in the moving average, once it covers enough runs.
 SLOWNESS_WEIGHT = 0.1
 
 
@@ -72,7 +72,10 @@
     owner_lease_ends : dict of str to float
         For each owner of runs, when its lease ends, in seconds of `clock`.
     slowness : float
-        Moving average of measured run time over declared run time.
+        Moving average of measured run time over declared run time; 0 before the first
+        run was measured.
+    measured_runs : int
+        Number of runs in that average.
     suspended_s : float
         Time for which the machine was suspended, up to a constant.
     """
@@ -95,7 +98,8 @@
         self.sessions: dict[str, TargetSession] = {}
         self.owner_lease_ends: dict[str, float] = {}
         self.health = health_rules.Health()
-        self.slowness = 1.0
+        self.slowness = 0.0
+        self.measured_runs = 0
 
     def handle(self, message: Any) -> None:
         """Handle one message, after a check for a suspension of the machine."""
@@ -458,7 +462,9 @@
         declared_s = run.order.estimate_ms / 1000
         if declared_s > 0:
             ratio = min(20.0, (now - run.started_at) / declared_s)
-            self.slowness += SLOWNESS_WEIGHT * (ratio - self.slowness)
+            self.measured_runs += 1
+            weight = max(SLOWNESS_WEIGHT, 1 / self.measured_runs)
+            self.slowness += weight * (ratio - self.slowness)
 
     def record_result(self, run: Run, target_fault: bool) -> None:
         """Update the target's health with a result; it may be ejected."""
--- a/hawthorntrack/coordination/target_selection.py
+++ b/hawthorntrack/coordination/target_selection.py
@@ -53,6 +53,20 @@
     return run_s + CROSS_ZONE_RTT_MS / 1000 * (candidate.target_status.zone != zone)
 
 
+def assume_slowness(candidate: TargetCandidate, slowness: float) -> TargetCandidate:
+    """Return a candidate, with a slowness for a target that has none measured yet.
+
+    Explanation
+    -----------
+    Load pattern: empty targets are added to busy ones. If a new target counted as
+    slower than the measured ones, it would get tasks only once all of them are full.
+    """
+    status = candidate.target_status
+    if status.slowness:
+        return candidate
+    return candidate._replace(target_status=status._replace(slowness=slowness))
+
+
 def room_for(candidate: TargetCandidate, need: Resources) -> int:
     """Return how many tasks fit into a target's free processor capacity."""
     return candidate.free.cpu_m // max(1, need.cpu_m)
--- a/hawthorntrack/coordination/tests/test_dispatcher.py
+++ b/hawthorntrack/coordination/tests/test_dispatcher.py
@@ -568,6 +568,24 @@
     assert len(entry_without_guards.take_starts()) == 2
 
 
+def test_new_target_gets_tasks_before_busy_ones(entry_without_guards):
+    """Users saw new, empty targets idle while jobs waited for the older ones."""
+    for guard in (GUARD_1, GUARD_2):
+        free = Resources(2 * NEED.cpu_m, 32_000)
+        entry_without_guards.connect_guard(guard, slowness=0.7, free=free)
+    entry_without_guards.connect_guard(GUARD_3, slowness=0.0)
+    entry_without_guards.submit()
+    assert {to for to, _ in entry_without_guards.take_starts()} == {GUARD_3.address}
+
+
+def test_targets_without_measurements_are_used(entry_without_guards):
+    """Load pattern: all guards have restarted."""
+    for guard in (GUARD_1, GUARD_2):
+        entry_without_guards.connect_guard(guard, slowness=0.0)
+    entry_without_guards.submit()
+    assert len(entry_without_guards.take_starts()) == 2
+
+
 def test_slow_place_is_better_than_a_refusal(entry_without_guards):
     entry_without_guards.connect_guard(GUARD_1, slowness=7.0)
     entry_without_guards.connect_guard(GUARD_2, free=Resources())
--- a/hawthorntrack/experiment/tests/test_working_sets.py
+++ b/hawthorntrack/experiment/tests/test_working_sets.py
@@ -68,8 +68,12 @@
     assert served >= MIN_SHARE_SERVED_UNDER_FAULTS * submitted
 
 
-def test_new_targets_get_work_within_a_second_while_jobs_wait(run, partial_site):
-    """Users saw new, empty targets idle while jobs waited for the older ones."""
+@pytest.mark.parametrize("load", [1.0, LOAD_WITH_WAITING_JOBS])
+def test_new_targets_get_work_within_a_second(run, partial_site, load):
+    """Users saw new, empty targets idle while jobs waited for the older ones.
+
+    At the lower load, the older targets are nearly full, and only some jobs wait.
+    """
     model = ModelSite(partial_site, 1)
     added = []
 
@@ -78,7 +82,7 @@
         added.extend(site.add_target(0.7) for _ in range(NEW_TARGETS))
         added.append(site.clock())
 
-    run(model.play(4.0, add_targets, lambda at: LOAD_WITH_WAITING_JOBS))
+    run(model.play(4.0, add_targets, lambda at: load))
     *targets, announced_at = added
     idle_s = [model.first_runs[target.name] - announced_at for target in targets]
     assert max(idle_s) <= MAX_IDLE_S
--- a/hawthorntrack/protocol/run_messages.py
+++ b/hawthorntrack/protocol/run_messages.py
@@ -17,7 +17,7 @@
     free : Resources
         Capacity that no run occupies.
     slowness : float
-        Average ratio of measured to declared run time.
+        Average ratio of measured to declared run time; 0 before the first run.
     sequence : int
         Increases with each change at one guard; a lower one is older.
     """
