Place small tasks when a guard is heard again

Cause: a placement without any guard left the smallest waiting need at that of an earlier placement, so a guard that was heard again with room for a smaller task led to none.

Change: without guards, any room counts. The gauge of open links counts links, not records.

Test: test_small_job_is_placed_after_a_larger_one_when_the_guard_is_heard_again failed before.

--- a/hawthorntrack/coordination/dispatcher.py
+++ b/hawthorntrack/coordination/dispatcher.py
@@ -123,7 +123,7 @@
     lease_times : LeaseTimes
         Durations of leases.
     address : str
-        Address of this instance, which decides with others which guards it uses.
+        Address of this instance; its order of preference among guards follows from it.
     max_guard_links : int
         Largest number of guards that this instance keeps links to.
     """
--- a/hawthorntrack/coordination/guard_links.py
+++ b/hawthorntrack/coordination/guard_links.py
@@ -159,7 +159,8 @@
             self.links.put(RemovePeer(address))
             log_event("guard:released", guard=address)
         labelled(GUARD_LINKS, "wanted").set(len(self.working_set.chosen))
-        labelled(GUARD_LINKS, "open").set(len(self.peers))
+        linked = sum(peer.linked for peer in self.peers.values())
+        labelled(GUARD_LINKS, "open").set(linked)
 
     def is_usable(self, address: str, now: float) -> bool:
         """Return whether a guard of the working set can get runs."""
--- a/hawthorntrack/coordination/run_placement.py
+++ b/hawthorntrack/coordination/run_placement.py
@@ -82,7 +82,7 @@
         The jobs with tasks that wait to be placed, by key; some may have ended.
     least_waiting_cpu_m : int
         Smallest need among the tasks that the last placement left waiting, in
-        thousandths of a core.
+        thousandths of a core; 0 if no guard accepted runs.
     """
 
     def __init__(
@@ -150,6 +150,7 @@
         """Place waiting tasks in the order that the current policy gives."""
         self.end_unawaited_jobs(self.waiting_jobs.values())
         self.prune_waiting_jobs()
+        self.least_waiting_cpu_m = 0
         queues: dict[str, list[Job]] = defaultdict(list)
         for job in self.waiting_jobs.values():
             if not job.process_suspended:
--- a/hawthorntrack/coordination/tests/test_dispatcher.py
+++ b/hawthorntrack/coordination/tests/test_dispatcher.py
@@ -12,7 +12,10 @@
     STARTUP_GRACE_S,
     Dispatcher,
 )
-from hawthorntrack.coordination.guard_peer import LINK_TIMEOUT_S
+from hawthorntrack.coordination.guard_peer import (
+    LINK_TIMEOUT_S,
+    MAX_SILENCE_FOR_NEW_RUNS_S,
+)
 from hawthorntrack.coordination.working_set import SURPLUS_LINGER_S
 from hawthorntrack.protocol.job_requests import (
     CallerDisconnected,
@@ -600,6 +603,20 @@
     assert {to for to, _ in entry_without_guards.take_starts()} == {GUARD_1.address}
 
 
+def test_small_job_is_placed_after_a_larger_one_when_the_guard_is_heard_again(entry):
+    entry.send_heartbeat(GUARD_1, free=NEED)
+    steps = (StepSpec(1, NEED.plus(NEED), 0.4),)
+    entry.submit(key="b" * 16, steps=steps, queue="check", deadline_s=90.0)
+    entry.advance(0.02)
+    entry.time += MAX_SILENCE_FOR_NEW_RUNS_S
+    reply = entry.submit(key="c" * 16, steps=(StepSpec(1, NEED, 0.4),))
+    assert entry.take_starts() == []
+    entry.send_heartbeat(GUARD_1, free=NEED)
+    ((_, run),) = entry.take_starts()
+    assert run.task.job == "c" * 16
+    assert not reply.done()
+
+
 def test_slow_place_is_taken_in_time_although_no_message_arrives(entry_without_guards):
     """Messages of the full targets lead to no placement any more."""
     entry_without_guards.connect_guard(GUARD_1, slowness=7.0)
