--- a/hawthorntrack/coordination/leaseholder.py
+++ b/hawthorntrack/coordination/leaseholder.py
@@ -44,7 +44,7 @@
 from hawthorntrack.state.values import Incarnation
 
 # Each change of capacity is reported to this many of the entry instances that wait for
-# it, in turn. If all of them were told, they would all send tasks to the same place.
+# it, in turn, which bounds the reports of a busy target.
 CAPACITY_REPORT_FANOUT = 3
 # Changes of capacity within this time are combined into one report.
 CAPACITY_REPORT_DELAY_S = 0.004
