Show tasks that start without the label that they require

Claim: ROUTE is broken. While executors are replaced by ones of another kind, tasks are started on the new ones without the label in their step's requires.

--- a/review/standin/executor.py
+++ b/review/standin/executor.py
@@ -92,6 +92,19 @@
         await self.runner.cleanup()
         await self.session.close()
 
+    async def leave(self, serves_on_s: float) -> None:
+        """Report that it drains, serve on for a while, and end."""
+        self.note("executor-drains", executor=self.name)
+        self.state = "draining"
+        self.beats.cancel()
+        self.beats = asyncio.create_task(self.send_heartbeats())
+        await asyncio.sleep(serves_on_s)
+        self.beats.cancel()
+        url = f"http://{self.control}/v1/executors/{self.name}"
+        async with self.session.delete(url) as response:
+            await response.read()
+        await self.crash()
+
     def clock_ms(self) -> int:
         """Return its own steady clock."""
         return round((time.monotonic() - self.began) * 1000)
--- a/review/standin/site.py
+++ b/review/standin/site.py
@@ -114,6 +114,16 @@
                 self.cuts.addresses.append(listen)
         self.session: aiohttp.ClientSession | None = None
 
+    def successor_of(self, guard: str, labels: tuple[str, ...]) -> Executor:
+        """Return a new executor, not started yet, beside the one at a guard."""
+        node, old = self.nodes[guard], self.executors[guard]
+        name = f"i-{random.getrandbits(32):08x}"
+        address = f"{node.host}:{PORTS['app'] + 1}"
+        control, zone = old.control, old.zone
+        return Executor(
+            name, address, control, zone, labels, self.need_of, self.note
+        )
+
     def free_block(self) -> str:
         """Return the first two numbers of loopback addresses that are free."""
         for _ in range(50):
