--- a/review/standin/site.py
+++ b/review/standin/site.py
@@ -86,7 +86,9 @@
         self.events: list[tuple[float, str, dict[str, Any]]] = []
         self.cuts = Cuts()
         self.store = StandInStore(random.Random(1))
-        self.store_server = HttpServer(f"{self.host(1)}:{STORE_PORT}", self.store.answer)
+        self.store_server = HttpServer(
+            f"{self.host(1)}:{STORE_PORT}", self.store.answer
+        )
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         self.roles = deploy["roles"]
         self.nodes: dict[str, Node] = {}
@@ -120,9 +122,7 @@
         name = f"i-{random.getrandbits(32):08x}"
         address = f"{node.host}:{PORTS['app'] + 1}"
         control, zone = old.control, old.zone
-        return Executor(
-            name, address, control, zone, labels, self.need_of, self.note
-        )
+        return Executor(name, address, control, zone, labels, self.need_of, self.note)
 
     def free_block(self) -> str:
         """Return the first two numbers of loopback addresses that are free."""
@@ -307,9 +307,10 @@
             if node.link is not None:
                 await node.link.close()
         for executor in self.executors.values():
-            if executor.runner is not None:
+            if executor.beats is not None:
                 executor.beats.cancel()
                 await executor.session.close()
+            if executor.runner is not None:
                 await executor.runner.cleanup()
         await self.store_server.stop()
         if self.session is not None:
@@ -319,10 +320,13 @@
 
 async def judge(site: Site, play: Any) -> int:
     """Play a case on a site, and return the exit code of its script."""
+    task = asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
     try:
         await site.start()
         broken = await play(site)
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         site.note("could-not-run", error=repr(error))
         print(f"could not run: {error!r}", file=sys.stderr)
         return COULD_NOT_RUN
