Tell a target's crash from a lease that ran out

Callers saw nothing of this; operators could not tell from the logs whether the runs of a task ended because its targets crashed or because they were silent or cut off: both were how=lapsed, and a new incarnation how=lost.

A guard now reports crashed when connections to the target are refused until its leases have expired, or another incarnation answers, and the target had not said that it leaves. It logs target:crashed with the runs and how long each had lasted, and counts hawthorntrack_target_crashes.

--- a/hawthorntrack/coordination/run_controller.py
+++ b/hawthorntrack/coordination/run_controller.py
@@ -193,9 +193,12 @@
         """
         latest_end = leases.latest_lease_end(self.lease_times, self.clock())
         session.inherited_leases_end = max(older.all_leases_end, latest_end)
+        end_state = "lost" if older.leaves_as_planned else "crashed"
+        if not older.leaves_as_planned:
+            self.log_crash(older, "other_incarnation")
         session.runs = older.runs
         for run in session.runs.values():
-            reason, run.phase = run.stop_reason or "lost", START_UNCONFIRMED
+            reason, run.phase = run.stop_reason or end_state, START_UNCONFIRMED
             self.stop_run(session, run, reason)
 
     @handles(TargetDeparted)
@@ -320,7 +323,7 @@
     def on_started(self, session: TargetSession, run: Run) -> None:
         """Mark a run as running, and renew the lease to follow its progress."""
         STARTS.inc()
-        session.failures, session.heard_at = 0, self.clock()
+        session.record_contact(self.clock())
         run.phase = RUNNING
         run.started_at = run.last_change_at = self.clock()
         self.renew_lease(session)
@@ -406,16 +409,25 @@
         self.abandon_start(session, run, "unwell")
 
     @start_outcome_handlers.register("unreachable")
-    @start_outcome_handlers.register("unsent")
     def on_unreachable(self, session: TargetSession, run: Run) -> None:
+        """Refuse the run, since no process listens at the target's address."""
+        self.refuse_unsent(session, run, "unreachable")
+
+    @start_outcome_handlers.register("unsent")
+    def on_unsent(self, session: TargetSession, run: Run) -> None:
         """Refuse the run, since its order was not sent."""
-        session.failures += 1
-        self.on_unwell(session, run)
+        self.refuse_unsent(session, run, "unsent")
+
+    def refuse_unsent(self, session: TargetSession, run: Run, outcome: str) -> None:
+        """Refuse a run whose order no target has received."""
+        session.record_failure(outcome, self.clock())
+        self.back_off(session, outcome)
+        self.abandon_start(session, run, "unwell")
 
     @start_outcome_handlers.register("other_life")
     def on_other_life(self, session: TargetSession, run: Run) -> None:
         """End the session, since another incarnation answers at the address."""
-        self.end_session(session, "lost")
+        self.end_proven_session(session)
 
     @start_outcome_handlers.register("unanswered")
     def on_unanswered(self, session: TargetSession, run: Run) -> None:
@@ -442,9 +454,9 @@
         run.last_change_at = self.clock()
         self.request_run_list(session)
 
-    def back_off(self, session: TargetSession) -> None:
+    def back_off(self, session: TargetSession, outcome: str = "unwell") -> None:
         """Accept no runs for a while, which doubles with each consecutive failure."""
-        session.failures += 1
+        session.record_failure(outcome, self.clock())
         pause_s = min(BACKOFF_MAX_S, BACKOFF_INITIAL_S * 2 ** (session.failures - 1))
         session.retry_at = self.clock() + pause_s
         self.schedule_capacity_report()
@@ -468,7 +480,7 @@
         elif reply.outcome == "fenced":
             self.send_stop(session, run.name)
         elif session.proves_ended(reply.outcome):
-            self.end_session(session, "lost")
+            self.end_proven_session(session)
         else:
             run.attempts += 1
             retry = RetryStop(session.target, run.name)
--- a/hawthorntrack/coordination/run_reconciler.py
+++ b/hawthorntrack/coordination/run_reconciler.py
@@ -28,7 +28,7 @@
 from hawthorntrack.state.event_log import log_event
 from hawthorntrack.state.lease_times import LeaseTimes
 from hawthorntrack.state.mailbox import Mailbox
-from hawthorntrack.state.metrics import RETRIES, STARTS, labelled
+from hawthorntrack.state.metrics import RETRIES, STARTS, TARGET_CRASHES, labelled
 from hawthorntrack.state.plans import RunName, TargetState
 from hawthorntrack.state.values import Incarnation
 
@@ -188,6 +188,36 @@
         self.finish_runs(session, [(run, end_state) for run in session.runs.values()])
         self.schedule_capacity_report()
 
+    def end_proven_session(self, session: TargetSession) -> None:
+        """Close the session of an incarnation that has certainly ended."""
+        if session.leaves_as_planned:
+            self.end_session(session, "lost")
+            return
+        self.log_crash(session, "other_incarnation")
+        self.end_session(session, "crashed")
+
+    def log_crash(self, session: TargetSession, evidence: str) -> None:
+        """Count and log that a target has crashed under its runs."""
+        if not session.runs:
+            return
+        TARGET_CRASHES.inc()
+        log_event(
+            "target:crashed",
+            target=session.state.incarnation.id,
+            born_ms=session.state.incarnation.born_ms,
+            evidence=evidence,
+            runs=",".join(
+                f"{run.name.task.job}:{run.name.task.position}:{run.name.run}"
+                f":{self.age_at_crash_ms(session, run)}"
+                for run in session.runs.values()
+            ),
+        )
+
+    def age_at_crash_ms(self, session: TargetSession, run: Run) -> int:
+        """Return how long a run had lasted when its target ended, in milliseconds."""
+        ended_at = min(session.failing_since, self.clock())
+        return max(0, round((ended_at - run.started_at) * 1000))
+
     def renew_lease(self, session: TargetSession) -> None:
         """Send a lease renewal if one is needed and none is pending.
 
@@ -321,7 +351,7 @@
             self.request_wanted_list(session)
             return
         if session.proves_ended(reply.outcome):
-            self.end_session(session, "lost")
+            self.end_proven_session(session)
         elif reply.outcome == "fenced":
             self.renew_lease(session)
             self.request_wanted_list(session)
@@ -330,7 +360,7 @@
             self.request_wanted_list(session)
             if self.answered_by_later_renewal(session, reply):
                 return
-            session.failures += 1
+            session.record_failure(reply.outcome, now)
             labelled(RETRIES, f"hold_{reply.outcome}").inc()
             log_event("target:no_lists", outcome=reply.outcome, runs=len(session.runs))
             if session.failures == 1 and reply.outcome == "unanswered":
@@ -355,7 +385,7 @@
     ) -> None:
         """Compare the target's run list with the session; report and stop runs."""
         recovered = session.failures or not session.verified
-        session.failures, session.heard_at = 0, now
+        session.record_contact(now)
         session.clock = leases.TargetClockReading(reply.clock_ms, now)
         session.ends_acknowledged = max(
             session.ends_acknowledged, reply.order.ends_seen
@@ -478,19 +508,25 @@
             self.schedule_capacity_report()
 
     def expire_silent_session(self, session: TargetSession, now: float) -> None:
-        """Report the runs of a silent target as lapsed; drop a session without runs.
+        """Report the runs of a silent target as ended; drop a session without runs.
 
         Explanation
         -----------
-        The runs count as lapsed once every lease on the target has expired. If the
+        The runs have ended once every lease on the target has expired: ``crashed`` if
+        no process listens at its address, otherwise ``lapsed``. A connection may also
+        be refused on the way, so it does not prove the end by itself. If the
         target has crashed, a start order that was delayed would still be executed by
         its next incarnation, so the next order to the address fences it.
         """
         if session.failures and session.runs:
             if now > leases.runs_stopped_by(self.lease_times, session.all_leases_end):
                 session.token = self.take_token()
+                end_state = "lapsed"
+                if session.connection_refused and not session.leaves_as_planned:
+                    self.log_crash(session, "connection_refused")
+                    end_state = "crashed"
                 self.finish_runs(
-                    session, [(run, "lapsed") for run in session.runs.values()]
+                    session, [(run, end_state) for run in session.runs.values()]
                 )
         if not session.runs and now - session.heard_at > 3 * TARGET_SILENCE_LIMIT_S:
             log_event("target:silent", target=session.state.incarnation.id)
--- a/hawthorntrack/coordination/target_session.py
+++ b/hawthorntrack/coordination/target_session.py
@@ -122,6 +122,10 @@
         the guard's clock.
     failures : int
         Consecutive orders that failed or got no answer.
+    failing_since : float
+        When the first of these failed; infinity while there is none.
+    connection_refused : bool
+        Whether the newest of these found no process at the target's address.
     lost_answer_at : float
         When an order last went without an answer.
     answer_times : AnswerTimes
@@ -158,6 +162,8 @@
         self.inherited_leases_end = 0.0
         self.heard_at = now
         self.failures = 0
+        self.failing_since = math.inf
+        self.connection_refused = False
         self.lost_answer_at = -math.inf
         self.answer_times = AnswerTimes()
         self.repeat_budget = new_target_budget()
@@ -191,6 +197,22 @@
         """Return whether an order's outcome proves that this incarnation has ended."""
         return outcome == "other_life" or (self.departed and outcome == "unreachable")
 
+    @property
+    def leaves_as_planned(self) -> bool:
+        """Return whether the target has reported that it drains or has ended."""
+        return self.state.draining or self.departed
+
+    def record_failure(self, outcome: str, now: float) -> None:
+        """Store that an order failed or got no answer."""
+        self.failures += 1
+        self.failing_since = min(self.failing_since, now)
+        self.connection_refused = outcome == "unreachable"
+
+    def record_contact(self, now: float) -> None:
+        """Store that the target has answered an order."""
+        self.failures, self.heard_at = 0, now
+        self.failing_since, self.connection_refused = math.inf, False
+
     def contradicts(self, state: TargetState) -> bool:
         """Return whether a heartbeat contradicts constant properties of the target.
 
--- a/hawthorntrack/protocol/run_messages.py
+++ b/hawthorntrack/protocol/run_messages.py
@@ -158,8 +158,8 @@
     number : int
         The run number that the guard used.
     end_state : str
-        ``done``, ``failed``, ``stopped``, ``lapsed`` (the lease ended), ``lost`` or
-        another state that the target reports.
+        ``done``, ``failed``, ``stopped``, ``lapsed`` (the lease ended), ``lost``,
+        ``crashed`` (its target did) or another state that the target reports.
     """
 
     name: RunName
--- a/hawthorntrack/state/metrics.py
+++ b/hawthorntrack/state/metrics.py
@@ -10,6 +10,9 @@
 RETRIES = Counter("hawthorntrack_retries", "Tasks or requests sent again.", ["reason"])
 JOBS = Counter("hawthorntrack_jobs", "Jobs answered.", ["status"])
 STARTS = Counter("hawthorntrack_task_starts", "Tasks started at a target.")
+TARGET_CRASHES = Counter(
+    "hawthorntrack_target_crashes", "Crashes of the target beside a guard."
+)
 NOT_RUN = Counter("hawthorntrack_not_run", "Tasks returned unstarted.", ["reason"])
 MESSAGES = Counter("hawthorntrack_messages", "Bus messages.", ["direction", "type"])
 MESSAGE_BYTES = Counter("hawthorntrack_message_bytes", "Bus bytes.", ["direction"])
