Show a task that crashes one target after the other without limit

A caller waits 25 s for a job whose first task crashes each target that starts it, beside half of the usual load of the model site. Callers of all other jobs on those targets lose their runs.

--- a/hawthorntrack/experiment/model_target.py
+++ b/hawthorntrack/experiment/model_target.py
@@ -30,6 +30,10 @@
 STOP_DURATION_S = 0.02
 HEARTBEAT_INTERVAL_S = 1.5
 MAX_LISTED_ENDS = 500
+# Time from the start of a task that crashes its target to the crash.
+CRASH_DELAY_S = 0.015
+# Time for which a target that has crashed is down.
+CRASH_DOWN_S = 3.2
 # Bounds of the time by which an order that gets no answer is executed late.
 MIN_LATE_S = 2.0
 MAX_LATE_S = 6.0
@@ -83,6 +87,12 @@
         (a share of the orders is executed seconds later), ``late_grants`` (the same,
         and the lease time that they grant counts from their execution) or ``lost`` (a
         share of the starts succeeds, but the reply is lost).
+    crashing_tasks : set of TaskName
+        Tasks that crash the target shortly after their start.
+    renamed_by_crash : bool
+        Whether the incarnation after a crash has another id.
+    down : bool
+        Whether the target has crashed and is not back; it refuses connections then.
     call_s : float
         Time that the target works on one call, in seconds; 0.0 for unlimited calls at
         a time. Calls queue, and those that the guard has given up stay in the queue.
@@ -110,6 +120,9 @@
         self.needs: dict[str, Resources] = {}
         self.fault = ""
         self.fault_share = 1.0
+        self.crashing_tasks: set[TaskName] = set()
+        self.renamed_by_crash = False
+        self.down = False
         self.call_s = 0.0
         self.calls = 0
         self.busy_until = 0.0
@@ -126,7 +139,9 @@
                 run.timer.cancel()
             self.on_end(self, run.name, "crashed")
         self.incarnation_count += 1
-        self.incarnation = TargetIncarnation(self.name, self.incarnation_count)
+        renamed = self.renamed_by_crash and self.incarnation_count > 1
+        target_id = f"{self.name}.{self.incarnation_count}" if renamed else self.name
+        self.incarnation = TargetIncarnation(target_id, self.incarnation_count)
         self.started_at = self.now()
         self.runs: dict[TaskName, ModelRun] = {}
         self.highest_ended_run: dict[TaskName, int] = {}
@@ -140,6 +155,28 @@
             timer.cancel()
         self.waiters: list[tuple[RenewLeaseOrder, asyncio.TimerHandle]] = []
 
+    def crash(self, incarnation: TargetIncarnation) -> None:
+        """End the process if this incarnation is up; the next begins after a while.
+
+        Explanation
+        -----------
+        Connections are reset, and refused until the next incarnation is up.
+        """
+        if self.down or incarnation != self.incarnation:
+            return
+        interrupted = [order for order, _ in self.waiters]
+        self.restart()
+        self.down = True
+        for order in interrupted:
+            self.answer(order, "unanswered")
+        self.call_later(CRASH_DOWN_S, self.come_back)
+
+    def come_back(self) -> None:
+        """Begin the next incarnation, which announces itself at once."""
+        self.down = False
+        self.started_at = self.now()
+        self.announce()
+
     def now(self) -> float:
         """Return the time of the event loop."""
         return asyncio.get_running_loop().time()
@@ -151,6 +188,9 @@
     def put(self, order: Any) -> None:
         """Accept an order; stands in for the mailbox of the guard's target client."""
         self.calls += 1
+        if self.down:
+            self.answer(order, "unreachable")
+            return
         if self.fault == "mute":
             self.answer(order, "unanswered", self.time_limit_s(order))
             return
@@ -194,7 +234,11 @@
         Orders name a target by its id only, so a new incarnation executes orders that
         were sent to a previous one.
         """
-        if order.target.incarnation.id != self.name:
+        if self.down:
+            if awaited:
+                self.answer(order, "unanswered")
+            return
+        if order.target.incarnation.id != self.incarnation.id:
             if awaited:
                 self.answer(order, "other_life")
             return
@@ -225,7 +269,8 @@
             StopOrder: StopReply,
             RenewLeaseOrder: RenewLeaseReply,
         }
-        clock_ms = 0 if outcome in ("unanswered", "other_life") else self.clock_ms()
+        unread = ("unanswered", "unreachable", "other_life")
+        clock_ms = 0 if outcome in unread else self.clock_ms()
         self.send_reply(kinds[type(order)](order, outcome, clock_ms), after_s)
 
     def send_reply(self, reply: Any, after_s: float = CALL_DELAY_S) -> None:
@@ -265,6 +310,8 @@
         run = ModelRun(name, need, float(order.payload or 0), self.now())
         self.runs[name.task] = run
         self.on_start(self, name)
+        if name.task in self.crashing_tasks:
+            self.call_later(CRASH_DELAY_S, self.crash, self.incarnation)
         if self.fault == "errors" and self.rng.random() < self.fault_share:
             run.timer = self.call_later(0.005, self.finish, run, "failed")
         elif self.fault != "hang":
@@ -382,11 +429,15 @@
     async def send_heartbeats(self) -> None:
         """Send heartbeats to the guard until cancelled."""
         while True:
-            if self.fault != "mute" and self.replies is not None:
-                self.sequence += 1
-                self.replies.put(TargetHeartbeat(self.current_state()))
+            self.announce()
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
+    def announce(self) -> None:
+        """Send a heartbeat to the guard if the target is up."""
+        if self.fault != "mute" and not self.down and self.replies is not None:
+            self.sequence += 1
+            self.replies.put(TargetHeartbeat(self.current_state()))
+
     def current_state(self) -> TargetState:
         """Return the state that heartbeats report."""
         return TargetState(
--- /dev/null
+++ b/hawthorntrack/experiment/tests/test_crashing_tasks.py
@@ -0,0 +1,136 @@
+"""Tasks that crash each target that starts them, beside the usual load of a site."""
+
+import asyncio
+from collections import Counter
+
+import pytest
+
+from hawthorntrack.experiment.model_site import (
+    RESEND_DELAY_S,
+    SMALL_SITE,
+    ModelSite,
+)
+from hawthorntrack.protocol.job_requests import CallerDisconnected, SubmitPlan
+from hawthorntrack.state.plans import JobPlan, StepSpec, TaskName
+from hawthorntrack.state.resources import Resources
+from hawthorntrack.state.values import Incarnation
+from hawthorntrack.state.verdicts import Abandoned, JobFailed
+
+CALLER = Incarnation("caller:1", "")
+NEED = Resources(1_600, 64)
+WIDTH = 8
+TASK_S = 0.12
+PATIENCE_S = 25.0
+# Targets have announced themselves, and all guards have been heard.
+STARTUP_S = 4.0
+LOAD_SHARE = 0.5
+# The users' limit: three starts more, after three targets have crashed under a task.
+CRASHES_BEFORE_LIMIT = 3
+STARTS_OVER_LIMIT = 3
+
+
+class CrashSite(ModelSite):
+    """A model site that counts, by task, the crashes and the starts after three.
+
+    Attributes
+    ----------
+    crashes : Counter
+        Targets that crashed while they ran a task.
+    starts_over_limit : Counter
+        Starts of a task after `CRASHES_BEFORE_LIMIT` targets had crashed under it.
+    failed_ordinary_jobs : list of str
+        Jobs that crash nothing and were answered as failed.
+    """
+
+    def __init__(self, seed):
+        super().__init__(SMALL_SITE, seed)
+        self.crashes = Counter()
+        self.starts_over_limit = Counter()
+        self.failed_ordinary_jobs = []
+        self.crashing_tasks = []
+
+    def on_run_started(self, target, name):
+        super().on_run_started(target, name)
+        if self.crashes[name.task] >= CRASHES_BEFORE_LIMIT:
+            self.starts_over_limit[name.task] += 1
+
+    def on_run_ended(self, target, name, how):
+        super().on_run_ended(target, name, how)
+        self.crashes[name.task] += how == "crashed"
+
+    async def submit_until_answered(self, kind, plan):
+        verdict = await super().submit_until_answered(kind, plan)
+        if isinstance(verdict, JobFailed):
+            self.failed_ordinary_jobs.append(plan.key)
+        return verdict
+
+    def new_crashing_job(self):
+        """Return a job whose first task crashes each target that starts it."""
+        key = f"{next(self.job_numbers):016x}"
+        for target in self.targets:
+            target.needs[key] = NEED
+            target.crashing_tasks.add(TaskName(key, 0, 0, 0))
+        self.crashing_tasks.append(TaskName(key, 0, 0, 0))
+        return JobPlan(key, f"{TASK_S}", (StepSpec(WIDTH, NEED, TASK_S),))
+
+    def most_starts_over_limit(self):
+        """Return the most starts over the limit of a task that crashes targets."""
+        return max(self.starts_over_limit[task] for task in self.crashing_tasks)
+
+    async def submit_patiently(self, plan):
+        """Submit a job until it is answered for good; return the verdict."""
+        until = self.clock() + PATIENCE_S
+        while self.clock() < until:
+            alive = [e for e in self.entries if self.ready.get(e.me.address)]
+            alive = [e for e in alive if e.me.address in self.network.processes]
+            verdict = await self.submit_to(self.rng.choice(alive), plan, until)
+            if not isinstance(verdict, Abandoned):
+                return verdict
+            await asyncio.sleep(RESEND_DELAY_S)
+        return Abandoned("deadline")
+
+    async def submit_to(self, entry, plan, until):
+        """Submit a job to an entry instance that may be killed meanwhile."""
+        reply = asyncio.get_running_loop().create_future()
+        path, remaining_s = f"/confirm/{plan.key}", until - self.clock()
+        order = SubmitPlan(
+            "calls.example", path, plan, "", self.clock(), remaining_s, reply
+        )
+        entry.receive(CALLER, order)
+        while self.clock() < until:
+            await asyncio.wait([reply], timeout=0.05)
+            if self.network.processes.get(entry.me.address) is not entry:
+                return Abandoned("broken")
+            if reply.done():
+                return reply.result()
+        entry.receive(CALLER, CallerDisconnected(plan.key, reply))
+        return Abandoned("deadline")
+
+
+@pytest.fixture(params=[1, 2, 3])
+def site(request):
+    """Return a site whose targets return under another id after a crash."""
+    return CrashSite(request.param)
+
+
+async def play(site, faults, seconds=PATIENCE_S):
+    """Play a load on the site beside a coroutine function of faults."""
+
+    async def begin(model):
+        for target in model.targets:
+            target.renamed_by_crash = True
+        await asyncio.sleep(STARTUP_S)
+        await faults(model)
+
+    return await site.play(seconds + STARTUP_S, begin, lambda at: LOAD_SHARE)
+
+
+def test_task_that_crashes_targets_is_not_started_without_limit(run, site):
+    verdicts = []
+
+    async def submit_one(model):
+        verdicts.append(await model.submit_patiently(model.new_crashing_job()))
+
+    run(play(site, submit_one))
+    assert site.most_starts_over_limit() < STARTS_OVER_LIMIT
+    assert [type(verdict) for verdict in verdicts] == [JobFailed]
