Give up a task under which targets crash again and again

Callers saw: a job whose task crashes its target took one target after the other from all of them, until its own caller left; it got no final answer.

Cause: only runs that ended 'failed' counted as attempts. A run lost with its target counted as nothing (dispatcher, apply_run_ending), so its task was placed again without limit.

A guard now reports a crash with the age of each run under it. A task that two targets crashed under as it started, or four at any age, is given up, and its job answered as failed, which is final; a job that is submitted again is failed at once. All runs of a target are lost with it, so runs that were well under way count less: they are mostly beside the one that crashed it.

--- /dev/null
+++ b/hawthorntrack/coordination/crash_records.py
@@ -0,0 +1,106 @@
+"""Decides from the crashes of targets which task caused them.
+
+Load pattern: a task crashes each target that starts it. All runs on a target are lost
+with it, so one crash puts all of their tasks under suspicion, and most did nothing.
+"""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from hawthorntrack.state.plans import TaskName
+
+# A task that crashes its target mostly does so while it starts.
+EARLY_RUN_MS = 100
+# Early crashes in a row that no innocent task is likely to meet.
+EARLY_CRASHES_OF_CULPRIT = 2
+# Crashes of any kind after which a task is given up. The next start could crash a
+# fifth target.
+MAX_CRASHES = 4
+# Longer than callers submit a job again.
+RECORD_RETENTION_S = 120.0
+MAX_RECORDED_JOBS = 10_000
+
+
+class CrashId(NamedTuple):
+    """Identifies a run of a task that was lost in a crash: guard and run number."""
+
+    guard: str
+    number: int
+
+
+class CrashEvidence(NamedTuple):
+    """What a crash says about a task that ran on the target.
+
+    Attributes
+    ----------
+    early : bool
+        Whether the task had just been started.
+    """
+
+    early: bool
+
+
+def is_culprit(crashes: Mapping[CrashId, CrashEvidence]) -> bool:
+    """Return whether a task is taken to crash the targets that start it.
+
+    Examples
+    --------
+    >>> early, late = CrashEvidence(True), CrashEvidence(False)
+    >>> first, second = CrashId("guard-1:1", 1), CrashId("guard-2:1", 2)
+    >>> is_culprit({first: early}), is_culprit({first: early, second: early})
+    (False, True)
+    >>> is_culprit({first: late, second: late})
+    False
+    """
+    early = sum(evidence.early for evidence in crashes.values())
+    return early >= EARLY_CRASHES_OF_CULPRIT or len(crashes) >= MAX_CRASHES
+
+
+class JobRecord(NamedTuple):
+    """The crashes under the tasks of one job.
+
+    Attributes
+    ----------
+    updated_at : float
+        Time of the newest crash, in seconds.
+    """
+
+    updated_at: float
+    tasks: dict[TaskName, dict[CrashId, CrashEvidence]]
+
+
+class CrashRecords:
+    """The crashes under tasks, by job; they outlive the submission of the job."""
+
+    def __init__(self) -> None:
+        self.jobs: dict[str, JobRecord] = {}
+
+    def add(
+        self, task: TaskName, crash: CrashId, evidence: CrashEvidence, now: float
+    ) -> None:
+        """Record a crash; the first evidence on it counts."""
+        record = self.jobs.pop(task.job, None)
+        tasks = record.tasks if record is not None else {}
+        tasks.setdefault(task, {}).setdefault(crash, evidence)
+        self.jobs[task.job] = JobRecord(now, tasks)
+        if len(self.jobs) > MAX_RECORDED_JOBS:
+            del self.jobs[next(iter(self.jobs))]
+
+    def count(self, task: TaskName) -> int:
+        """Return the number of crashes under a task."""
+        record = self.jobs.get(task.job)
+        return len(record.tasks.get(task, ())) if record is not None else 0
+
+    def culprits(self, job: str) -> list[TaskName]:
+        """Return the tasks of a job that crash targets."""
+        record = self.jobs.get(job)
+        tasks = record.tasks if record is not None else {}
+        return [task for task, crashes in tasks.items() if is_culprit(crashes)]
+
+    def expire(self, now: float) -> None:
+        """Forget jobs without a crash for `RECORD_RETENTION_S`."""
+        while self.jobs:
+            job = next(iter(self.jobs))
+            if self.jobs[job].updated_at + RECORD_RETENTION_S > now:
+                return
+            del self.jobs[job]
--- a/hawthorntrack/coordination/dispatcher.py
+++ b/hawthorntrack/coordination/dispatcher.py
@@ -280,6 +280,8 @@
             return Refused("draining", 1)
         if submission.plan.survives_disconnect:
             return Refused("kept_jobs_not_offered", 5)
+        if self.crash_records.culprits(submission.plan.key):
+            return JobFailed("task_crashes_targets")
         statuses = [
             peer.target_status
             for peer in self.peers.values()
@@ -510,6 +512,7 @@
         self.completion_times = [
             time for time in self.completion_times if time > now - ANSWER_RATE_WINDOW_S
         ]
+        self.crash_records.expire(now)
         for key in self.expired_run_numbers(now - RUN_NUMBERS_RETENTION_S):
             del self.used_run_numbers[key]
         self.request_capacity_updates(bool(self.waiting_jobs))
--- a/hawthorntrack/coordination/leaseholder.py
+++ b/hawthorntrack/coordination/leaseholder.py
@@ -22,11 +22,13 @@
     CancelJobRuns,
     CheckRuns,
     ConfirmLease,
+    CrashedRun,
     GuardHeartbeat,
     Hello,
     RunEnding,
     RunOrder,
     RunsAccepted,
+    RunsCrashed,
     RunsEnded,
     RunsRefused,
     StartRuns,
@@ -513,6 +515,18 @@
             self.schedule_capacity_report()
             self.report_drained()
 
+    def report_crash(self, crashed: tuple[CrashedRun, ...]) -> None:
+        """Report runs that ended in a crash of their target to the entry instances.
+
+        Explanation
+        -----------
+        All that are linked get the report: the owner may be gone, and the callers of
+        its jobs submit them to another entry instance.
+        """
+        report = RunsCrashed(crashed)
+        for address in self.linked_entries:
+            self.send(address, report)
+
     def refuse_deferred_orders(self, task: TaskName) -> None:
         """Refuse the orders that were deferred until a run of a task has ended."""
         for name, owner in self.deferred_orders.pop(task, ()):
--- a/hawthorntrack/coordination/run_controller.py
+++ b/hawthorntrack/coordination/run_controller.py
@@ -195,7 +195,7 @@
         session.inherited_leases_end = max(older.all_leases_end, latest_end)
         end_state = "lost" if older.leaves_as_planned else "crashed"
         if not older.leaves_as_planned:
-            self.log_crash(older, "other_incarnation")
+            self.note_crash(older, "other_incarnation")
         session.runs = older.runs
         for run in session.runs.values():
             reason, run.phase = run.stop_reason or end_state, START_UNCONFIRMED
--- a/hawthorntrack/coordination/run_placement.py
+++ b/hawthorntrack/coordination/run_placement.py
@@ -6,6 +6,12 @@
 from statistics import median
 from typing import Any
 
+from hawthorntrack.coordination.crash_records import (
+    EARLY_RUN_MS,
+    CrashEvidence,
+    CrashId,
+    CrashRecords,
+)
 from hawthorntrack.coordination.guard_links import GuardLinks
 from hawthorntrack.coordination.guard_peer import GuardPeer
 from hawthorntrack.coordination.job_progress import PLACED, WAITING, Job, Task
@@ -30,6 +36,7 @@
     RunEnding,
     RunOrder,
     RunsAccepted,
+    RunsCrashed,
     RunsEnded,
     RunsRefused,
     StartRuns,
@@ -101,6 +108,7 @@
         self.jobs: dict[str, Job] = {}
         self.waiting_jobs: dict[str, Job] = {}
         self.least_waiting_cpu_m = 0
+        self.crash_records = CrashRecords()
         self.shares = FairShares()
         self.queue_order = queue_orders[DEFAULT_ORDER]
         self.mean_critical_path_s: dict[str, float] = {}
@@ -501,6 +509,13 @@
                 self.queue_job(job)
             return
         labelled(RETRIES, f"run_{ending.end_state}").inc()
+        if ending.end_state == "crashed":
+            self.crash_records.add(
+                task.name,
+                CrashId(guard, ending.number),
+                CrashEvidence(early=False),
+                self.clock(),
+            )
         log_event(
             "run:ended",
             job=job.plan.key,
@@ -509,6 +524,7 @@
             how=ending.end_state,
             guard=guard,
             failures=task.failures,
+            crashes=self.crash_records.count(task.name),
         )
         if ending.end_state in ("superseded", "cancelled"):
             self.end_job(job, Abandoned(ending.end_state))
@@ -521,7 +537,27 @@
                 return
         elif ending.end_state == "hung":
             task.avoid |= {guard}
-        self.requeue_task(job, task)
+        if not self.give_up_culprit(job):
+            self.requeue_task(job, task)
+
+    @handles(RunsCrashed)
+    def on_runs_crashed(self, crashed: RunsCrashed, sender: Incarnation) -> None:
+        """Record a crash under all of its tasks; give up jobs that crash targets."""
+        now = self.clock()
+        for run in crashed.runs:
+            evidence = CrashEvidence(early=run.age_ms <= EARLY_RUN_MS)
+            crash = CrashId(sender.address, run.name.run)
+            self.crash_records.add(run.name.task, crash, evidence, now)
+        for key in dict.fromkeys(run.name.task.job for run in crashed.runs):
+            if key in self.jobs:
+                self.give_up_culprit(self.jobs[key])
+
+    def give_up_culprit(self, job: Job) -> bool:
+        """Fail a job if one of its tasks crashes targets; return whether it did."""
+        if not self.crash_records.culprits(job.plan.key):
+            return False
+        self.end_job(job, JobFailed("task_crashes_targets"))
+        return True
 
     def reschedule_runs(self, peer: GuardPeer) -> None:
         """Requeue the tasks of a silent guard whose runs are certainly gone."""
--- a/hawthorntrack/coordination/run_reconciler.py
+++ b/hawthorntrack/coordination/run_reconciler.py
@@ -16,6 +16,7 @@
     Run,
     TargetSession,
 )
+from hawthorntrack.protocol.run_messages import CrashedRun
 from hawthorntrack.protocol.target_messages import (
     RenewLeaseOrder,
     RenewLeaseReply,
@@ -125,6 +126,10 @@
         """Remove ended runs and report them to their owners."""
         raise NotImplementedError
 
+    def report_crash(self, crashed: tuple[CrashedRun, ...]) -> None:
+        """Report runs that ended in a crash of their target to the entry instances."""
+        raise NotImplementedError
+
     def begin_incarnation(self, state: TargetState, now: float) -> None:
         """Open the session of a new incarnation of a target."""
         raise NotImplementedError
@@ -193,12 +198,17 @@
         if session.leaves_as_planned:
             self.end_session(session, "lost")
             return
-        self.log_crash(session, "other_incarnation")
+        self.note_crash(session, "other_incarnation")
         self.end_session(session, "crashed")
 
-    def log_crash(self, session: TargetSession, evidence: str) -> None:
-        """Count and log that a target has crashed under its runs."""
-        if not session.runs:
+    def note_crash(self, session: TargetSession, evidence: str) -> None:
+        """Report, count and log that a target has crashed under its runs."""
+        crashed = tuple(
+            CrashedRun(run.name, self.age_at_crash_ms(session, run))
+            for run in session.runs.values()
+            if run.stop_reason != "crashed"
+        )
+        if not crashed:
             return
         TARGET_CRASHES.inc()
         log_event(
@@ -208,10 +218,11 @@
             evidence=evidence,
             runs=",".join(
                 f"{run.name.task.job}:{run.name.task.position}:{run.name.run}"
-                f":{self.age_at_crash_ms(session, run)}"
-                for run in session.runs.values()
+                f":{run.age_ms}"
+                for run in crashed
             ),
         )
+        self.report_crash(crashed)
 
     def age_at_crash_ms(self, session: TargetSession, run: Run) -> int:
         """Return how long a run had lasted when its target ended, in milliseconds."""
@@ -523,7 +534,7 @@
                 session.token = self.take_token()
                 end_state = "lapsed"
                 if session.connection_refused and not session.leaves_as_planned:
-                    self.log_crash(session, "connection_refused")
+                    self.note_crash(session, "connection_refused")
                     end_state = "crashed"
                 self.finish_runs(
                     session, [(run, end_state) for run in session.runs.values()]
--- a/hawthorntrack/coordination/tests/test_dispatcher.py
+++ b/hawthorntrack/coordination/tests/test_dispatcher.py
@@ -6,6 +6,11 @@
 import pytest
 
 from hawthorntrack.coordination import leases
+from hawthorntrack.coordination.crash_records import (
+    EARLY_RUN_MS,
+    MAX_CRASHES,
+    RECORD_RETENTION_S,
+)
 from hawthorntrack.coordination.dispatcher import (
     MIN_DRAIN_S,
     RUN_NUMBERS_RETENTION_S,
@@ -41,10 +46,12 @@
     CancelJobRuns,
     CheckRuns,
     ConfirmLease,
+    CrashedRun,
     GuardHeartbeat,
     Hello,
     RunEnding,
     RunsAccepted,
+    RunsCrashed,
     RunsEnded,
     RunsRefused,
     StartRuns,
@@ -60,7 +67,7 @@
     derive_lease_times,
 )
 from hawthorntrack.state.mailbox import Mailbox, Tick
-from hawthorntrack.state.plans import JobPlan, StepSpec
+from hawthorntrack.state.plans import JobPlan, RunName, StepSpec, TaskName
 from hawthorntrack.state.resources import Resources
 from hawthorntrack.state.values import Incarnation
 from hawthorntrack.state.verdicts import (
@@ -204,6 +211,13 @@
         ending = RunEnding(run, number or run.run, end_state)
         self.deliver(RunsEnded((ending,), target_status), guard)
 
+    def crash_target(self, guard, runs, age_ms=15):
+        """Let a guard report a crash under runs, and their ends."""
+        crashed = tuple(CrashedRun(run, age_ms) for run in runs)
+        self.deliver(RunsCrashed(crashed), guard)
+        for run in runs:
+            self.end_run(guard, run, "crashed")
+
     def refuse_runs(self, guard, runs, reason, number=0):
         target_status = TargetStatus("ready", sequence=0)
         highest_run_numbers = (number,) * len(runs)
@@ -1264,3 +1278,60 @@
     entry.submit(key="b" * 16)
     assert len(entry.take_starts()) == 2
     assert entry.next_pass == []
+
+
+def crash_under_next_runs(entry, age_ms):
+    """Crash the target under all runs that were just sent; return their number."""
+    runs = [run for _, run in entry.take_starts()]
+    entry.crash_target(GUARD_1, runs, age_ms)
+    return len(runs)
+
+
+def test_job_is_failed_once_a_task_crashed_two_targets_as_it_started(entry):
+    reply = entry.submit()
+    crash_under_next_runs(entry, EARLY_RUN_MS)
+    assert not reply.done()
+    crash_under_next_runs(entry, EARLY_RUN_MS)
+    assert reply.result() == JobFailed("task_crashes_targets")
+    assert entry.take_starts() == []
+
+
+def test_job_whose_runs_were_under_way_outlives_crashes_up_to_the_limit(entry):
+    """It is more likely to have been beside the task that crashed the targets."""
+    reply = entry.submit()
+    for _ in range(MAX_CRASHES - 1):
+        crash_under_next_runs(entry, EARLY_RUN_MS + 1)
+        assert not reply.done()
+    crash_under_next_runs(entry, EARLY_RUN_MS + 1)
+    assert reply.result() == JobFailed("task_crashes_targets")
+
+
+def test_crash_counts_once_however_often_it_is_reported(entry):
+    reply = entry.submit()
+    runs = [run for _, run in entry.take_starts()]
+    crashed = tuple(CrashedRun(run, 0) for run in runs)
+    for _ in range(MAX_CRASHES):
+        entry.deliver(RunsCrashed(crashed), GUARD_1)
+    for run in runs:
+        entry.end_run(GUARD_1, run, "crashed")
+    assert not reply.done()
+    assert [run.task for _, run in entry.take_starts()] == [run.task for run in runs]
+
+
+def test_job_that_crashed_targets_elsewhere_is_failed_at_once(entry):
+    """Its entry instance was killed, and its caller submits it here."""
+    task = TaskName("a" * 16, 0, 0, 0)
+    for number in (1, 2):
+        entry.deliver(RunsCrashed((CrashedRun(RunName(task, number), 0),)), GUARD_1)
+    assert entry.submit().result() == JobFailed("task_crashes_targets")
+    assert entry.take_starts() == []
+
+
+def test_crashes_are_forgotten_after_their_retention(entry):
+    task = TaskName("a" * 16, 0, 0, 0)
+    for number in (1, 2):
+        entry.deliver(RunsCrashed((CrashedRun(RunName(task, number), 0),)), GUARD_1)
+    entry.time += RECORD_RETENTION_S
+    entry.send_heartbeat(GUARD_1)
+    entry.advance(0.02)
+    assert not entry.submit().done()
--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -32,10 +32,12 @@
     CancelJobRuns,
     CheckRuns,
     ConfirmLease,
+    CrashedRun,
     GuardHeartbeat,
     Hello,
     RunOrder,
     RunsAccepted,
+    RunsCrashed,
     RunsEnded,
     RunsRefused,
     StartRuns,
@@ -324,6 +326,22 @@
     assert [(e.name, e.end_state) for e in ended.endings] == [(name, "crashed")]
 
 
+def test_crash_is_reported_to_all_entry_instances_with_the_ages_of_the_runs(running):
+    """The owner may be gone; its callers submit their jobs to another instance."""
+    guard, name = running
+    guard.deliver(Hello("entry", "recife", "entry-2"), OTHER)
+    started_at = guard.holder.sessions["t1"].runs[name.task].started_at
+    guard.wait(0.1)
+    age_ms = round((guard.time - started_at) * 1000)
+    for _ in range(2):
+        guard.answer_renewals(outcome="unreachable")
+        guard.wait(TARGET_LEASE_S)
+    guard.wait(MAX_STOP_DURATION_S)
+    reports = [(to, body) for to, body in guard.sent if type(body) is RunsCrashed]
+    assert sorted(to for to, _ in reports) == [ENTRY.address, OTHER.address]
+    assert {body.runs for _, body in reports} == {(CrashedRun(name, age_ms),)}
+
+
 @pytest.mark.parametrize(
     "outcome, end_state", [("unreachable", "crashed"), ("unanswered", "lapsed")]
 )
--- a/hawthorntrack/protocol/run_messages.py
+++ b/hawthorntrack/protocol/run_messages.py
@@ -175,6 +175,28 @@
     target_status: TargetStatus
 
 
+class CrashedRun(NamedTuple):
+    """A run that ended in a crash of its target.
+
+    Attributes
+    ----------
+    name : RunName
+        The task, and the run number that the guard used.
+    age_ms : int
+        Time from its start to the crash, in milliseconds.
+    """
+
+    name: RunName
+    age_ms: int
+
+
+@message("runs_crashed")
+class RunsCrashed(NamedTuple):
+    """The target beside the sender has crashed under these runs, of all owners."""
+
+    runs: tuple[CrashedRun, ...]
+
+
 @message("stop_runs")
 class StopRuns(NamedTuple):
     """An entry instance requests that a guard stop these runs."""
