Tell all entry instances of a crash under a job

Callers saw: a job that crashes targets started from nothing at the entry instance that got it next, after the one that had it was killed or gave it up.

Cause: a guard reports a crash to the entry instances that are linked to it, and on a large site these are about five of 35. The others knew nothing.

The guard asks one of the linked instances to pass the report on to all others; a crash that is reported twice counts once, by guard and run number.

--- a/hawthorntrack/coordination/leaseholder.py
+++ b/hawthorntrack/coordination/leaseholder.py
@@ -520,12 +520,12 @@
 
         Explanation
         -----------
-        All that are linked get the report: the owner may be gone, and the callers of
-        its jobs submit them to another entry instance.
+        The owner may be gone, and the callers of its jobs submit them to any other
+        entry instance. All that are linked get the report, and one passes it on.
         """
-        report = RunsCrashed(crashed)
+        passes_on = min(self.linked_entries, default="")
         for address in self.linked_entries:
-            self.send(address, report)
+            self.send(address, RunsCrashed(crashed, pass_on=address == passes_on))
 
     def refuse_deferred_orders(self, task: TaskName) -> None:
         """Refuse the orders that were deferred until a run of a task has ended."""
--- a/hawthorntrack/coordination/run_placement.py
+++ b/hawthorntrack/coordination/run_placement.py
@@ -543,10 +543,13 @@
     @handles(RunsCrashed)
     def on_runs_crashed(self, crashed: RunsCrashed, sender: Incarnation) -> None:
         """Record a crash under all of its tasks; give up jobs that crash targets."""
-        now = self.clock()
+        guard, now = crashed.guard or sender.address, self.clock()
+        if crashed.pass_on:
+            for address in sorted(self.working_set.entries - {self.working_set.owner}):
+                self.send(address, RunsCrashed(crashed.runs, guard))
         for run in crashed.runs:
             evidence = CrashEvidence(early=run.age_ms <= EARLY_RUN_MS)
-            crash = CrashId(sender.address, run.name.run)
+            crash = CrashId(guard, run.name.run)
             self.crash_records.add(run.name.task, crash, evidence, now)
         for key in dict.fromkeys(run.name.task.job for run in crashed.runs):
             if key in self.jobs:
--- a/hawthorntrack/coordination/tests/test_dispatcher.py
+++ b/hawthorntrack/coordination/tests/test_dispatcher.py
@@ -1335,3 +1335,23 @@
     entry.send_heartbeat(GUARD_1)
     entry.advance(0.02)
     assert not entry.submit().done()
+
+
+def test_crash_is_passed_on_to_entry_instances_without_a_link_to_the_guard(entry):
+    """A job's caller may submit it to any of them once its entry instance is gone."""
+    members = [Member(f"entry-{n}:1", "entry", "olinda", "e") for n in (1, 2)]
+    entry.deliver(MembersKnown(tuple(members)))
+    crashed = (CrashedRun(RunName(TaskName("a" * 16, 0, 0, 0), 1), 0),)
+    entry.deliver(RunsCrashed(crashed, pass_on=True), GUARD_1)
+    passed_on = entry.take_messages(RunsCrashed)
+    assert [to for to, _ in passed_on] == [member.address for member in members]
+    assert {body for _, body in passed_on} == {RunsCrashed(crashed, GUARD_1.address)}
+
+
+def test_crash_counts_once_if_it_is_also_passed_on(entry):
+    reply = entry.submit()
+    runs = [run for _, run in entry.take_starts()]
+    crashed = tuple(CrashedRun(run, 0) for run in runs)
+    entry.deliver(RunsCrashed(crashed), GUARD_1)
+    entry.deliver(RunsCrashed(crashed, GUARD_1.address), Incarnation("entry-1:1", "e"))
+    assert not reply.done()
--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -340,6 +340,7 @@
     reports = [(to, body) for to, body in guard.sent if type(body) is RunsCrashed]
     assert sorted(to for to, _ in reports) == [ENTRY.address, OTHER.address]
     assert {body.runs for _, body in reports} == {(CrashedRun(name, age_ms),)}
+    assert sorted(body.pass_on for _, body in reports) == [False, True]
 
 
 @pytest.mark.parametrize(
--- a/hawthorntrack/experiment/tests/test_crashing_tasks.py
+++ b/hawthorntrack/experiment/tests/test_crashing_tasks.py
@@ -134,3 +134,29 @@
     run(play(site, submit_one))
     assert site.most_starts_over_limit() < STARTS_OVER_LIMIT
     assert [type(verdict) for verdict in verdicts] == [JobFailed]
+
+
+async def kill_owner_after_each_crash(site, plan):
+    """Kill the entry instance that has a job, whenever a target crashed under it."""
+    task, crashes = TaskName(plan.key, 0, 0, 0), 0
+    while True:
+        await asyncio.sleep(0.02)
+        if site.crashes[task] > crashes:
+            crashes = site.crashes[task]
+            by_address = {entry.me.address: entry for entry in site.entries}
+            for number in range(len(site.site.zones)):
+                if plan.key in by_address[f"entry-{number}:1"].actor.jobs:
+                    site.restart_entry(number, 0.5)
+
+
+def test_crashes_under_a_task_count_although_its_entry_instances_are_killed(run, site):
+    verdicts = []
+
+    async def submit_one(model):
+        plan = model.new_crashing_job()
+        model.spawn(kill_owner_after_each_crash(model, plan))
+        verdicts.append(await model.submit_patiently(plan))
+
+    run(play(site, submit_one))
+    assert site.most_starts_over_limit() < STARTS_OVER_LIMIT
+    assert [type(verdict) for verdict in verdicts] == [JobFailed]
--- a/hawthorntrack/protocol/run_messages.py
+++ b/hawthorntrack/protocol/run_messages.py
@@ -192,9 +192,19 @@
 
 @message("runs_crashed")
 class RunsCrashed(NamedTuple):
-    """The target beside the sender has crashed under these runs, of all owners."""
+    """A guard's target has crashed under these runs, of all owners.
+
+    Attributes
+    ----------
+    guard : str
+        Address of the guard; empty if the guard itself sends the message.
+    pass_on : bool
+        Whether the receiver passes the message on to all other entry instances.
+    """
 
     runs: tuple[CrashedRun, ...]
+    guard: str = ""
+    pass_on: bool = False
 
 
 @message("stop_runs")
