Count a crash only against runs that are known to have been in progress

Cause: the report of a crash named every run in the guard's session. The start of these had no answer when the target went down (run:start_again reason=start_unanswered): they had never begun.

A report now says of each run whether the target had confirmed it and no stop had been sent before the crash. Only such crashes give a job up as failed. Five possible crashes, unconfirmed ones included, still end the attempts: the job is then answered as abandoned, which says that it may have run.

A report and the end of a run may arrive in either order; the stronger evidence counts. Before, two early crashes of a task could be recorded as two late ones.

Evidence: both tests fail before (a start without an answer counted as a crash).

--- a/hawthorntrack/coordination/crash_records.py
+++ b/hawthorntrack/coordination/crash_records.py
@@ -13,9 +13,10 @@
 EARLY_RUN_MS = 100
 # Early crashes in a row that no innocent task is likely to meet.
 EARLY_CRASHES_OF_CULPRIT = 2
-# Crashes of any kind after which a task is given up. The next start could crash a
-# fifth target.
+# Crashes at any age after which a task is given up.
 MAX_CRASHES = 4
+# Possible crashes, unconfirmed ones included, after which a task is not started again.
+MAX_POSSIBLE_CRASHES = 5
 # Longer than callers submit a job again.
 RECORD_RETENTION_S = 120.0
 MAX_RECORDED_JOBS = 10_000
@@ -33,10 +34,13 @@
 
     Attributes
     ----------
+    confirmed : bool
+        Whether the task is known to have been in progress.
     early : bool
         Whether the task had just been started.
     """
 
+    confirmed: bool
     early: bool
 
 
@@ -45,15 +49,16 @@
 
     Examples
     --------
-    >>> early, late = CrashEvidence(True), CrashEvidence(False)
+    >>> early, late = CrashEvidence(True, True), CrashEvidence(True, False)
     >>> first, second = CrashId("guard-1:1", 1), CrashId("guard-2:1", 2)
     >>> is_culprit({first: early}), is_culprit({first: early, second: early})
     (False, True)
     >>> is_culprit({first: late, second: late})
     False
     """
-    early = sum(evidence.early for evidence in crashes.values())
-    return early >= EARLY_CRASHES_OF_CULPRIT or len(crashes) >= MAX_CRASHES
+    confirmed = [evidence for evidence in crashes.values() if evidence.confirmed]
+    early = sum(evidence.early for evidence in confirmed)
+    return early >= EARLY_CRASHES_OF_CULPRIT or len(confirmed) >= MAX_CRASHES
 
 
 class JobRecord(NamedTuple):
@@ -78,10 +83,16 @@
     def add(
         self, task: TaskName, crash: CrashId, evidence: CrashEvidence, now: float
     ) -> None:
-        """Record a crash; the first evidence on it counts."""
+        """Record a crash.
+
+        Explanation
+        -----------
+        The end of a run says less than its guard's report, and either may arrive first.
+        """
         record = self.jobs.pop(task.job, None)
         tasks = record.tasks if record is not None else {}
-        tasks.setdefault(task, {}).setdefault(crash, evidence)
+        crashes = tasks.setdefault(task, {})
+        crashes[crash] = max(evidence, crashes.get(crash, evidence))
         self.jobs[task.job] = JobRecord(now, tasks)
         if len(self.jobs) > MAX_RECORDED_JOBS:
             del self.jobs[next(iter(self.jobs))]
@@ -97,6 +108,12 @@
         tasks = record.tasks if record is not None else {}
         return [task for task, crashes in tasks.items() if is_culprit(crashes)]
 
+    def is_exhausted(self, job: str) -> bool:
+        """Return whether a task of a job may have crashed too many targets already."""
+        record = self.jobs.get(job)
+        tasks = record.tasks if record is not None else {}
+        return any(len(found) >= MAX_POSSIBLE_CRASHES for found in tasks.values())
+
     def expire(self, now: float) -> None:
         """Forget jobs without a crash for `RECORD_RETENTION_S`."""
         while self.jobs:
--- a/hawthorntrack/coordination/dispatcher.py
+++ b/hawthorntrack/coordination/dispatcher.py
@@ -280,8 +280,9 @@
             return Refused("draining", 1)
         if submission.plan.survives_disconnect:
             return Refused("kept_jobs_not_offered", 5)
-        if self.crash_records.culprits(submission.plan.key):
-            return JobFailed("task_crashes_targets")
+        verdict = self.crash_verdict(submission.plan.key)
+        if verdict is not None:
+            return verdict
         statuses = [
             peer.target_status
             for peer in self.peers.values()
--- a/hawthorntrack/coordination/run_controller.py
+++ b/hawthorntrack/coordination/run_controller.py
@@ -302,6 +302,7 @@
             target_age_ms=round((self.clock() - session.heard_at) * 1000),
         )
         run.phase, run.stop_reason, run.attempts = STOPPING, reason, 0
+        run.stopping_since = self.clock()
         run.last_change_at = 0.0
         self.send_stop(session, run.name)
 
@@ -324,7 +325,7 @@
         """Mark a run as running, and renew the lease to follow its progress."""
         STARTS.inc()
         session.record_contact(self.clock())
-        run.phase = RUNNING
+        run.phase, run.was_seen_running = RUNNING, True
         run.started_at = run.last_change_at = self.clock()
         self.renew_lease(session)
 
--- a/hawthorntrack/coordination/run_placement.py
+++ b/hawthorntrack/coordination/run_placement.py
@@ -513,7 +513,7 @@
             self.crash_records.add(
                 task.name,
                 CrashId(guard, ending.number),
-                CrashEvidence(early=False),
+                CrashEvidence(confirmed=False, early=False),
                 self.clock(),
             )
         log_event(
@@ -548,7 +548,8 @@
             for address in sorted(self.working_set.entries - {self.working_set.owner}):
                 self.send(address, RunsCrashed(crashed.runs, guard))
         for run in crashed.runs:
-            evidence = CrashEvidence(early=run.age_ms <= EARLY_RUN_MS)
+            early = run.age_ms <= EARLY_RUN_MS
+            evidence = CrashEvidence(run.was_running, early)
             crash = CrashId(guard, run.name.run)
             self.crash_records.add(run.name.task, crash, evidence, now)
         for key in dict.fromkeys(run.name.task.job for run in crashed.runs):
@@ -556,11 +557,19 @@
                 self.give_up_culprit(self.jobs[key])
 
     def give_up_culprit(self, job: Job) -> bool:
-        """Fail a job if one of its tasks crashes targets; return whether it did."""
-        if not self.crash_records.culprits(job.plan.key):
-            return False
-        self.end_job(job, JobFailed("task_crashes_targets"))
-        return True
+        """End a job of which a task crashes targets; return whether it did."""
+        verdict = self.crash_verdict(job.plan.key)
+        if verdict is not None:
+            self.end_job(job, verdict)
+        return verdict is not None
+
+    def crash_verdict(self, key: str) -> JobFailed | Abandoned | None:
+        """Return the verdict on a job that crashes targets, or None."""
+        if self.crash_records.culprits(key):
+            return JobFailed("task_crashes_targets")
+        if self.crash_records.is_exhausted(key):
+            return Abandoned("too_many_crashes")
+        return None
 
     def reschedule_runs(self, peer: GuardPeer) -> None:
         """Requeue the tasks of a silent guard whose runs are certainly gone."""
--- a/hawthorntrack/coordination/run_reconciler.py
+++ b/hawthorntrack/coordination/run_reconciler.py
@@ -204,7 +204,7 @@
     def note_crash(self, session: TargetSession, evidence: str) -> None:
         """Report, count and log that a target has crashed under its runs."""
         crashed = tuple(
-            CrashedRun(run.name, self.age_at_crash_ms(session, run))
+            self.crashed_run(session, run)
             for run in session.runs.values()
             if run.stop_reason != "crashed"
         )
@@ -224,10 +224,12 @@
         )
         self.report_crash(crashed)
 
-    def age_at_crash_ms(self, session: TargetSession, run: Run) -> int:
-        """Return how long a run had lasted when its target ended, in milliseconds."""
+    def crashed_run(self, session: TargetSession, run: Run) -> CrashedRun:
+        """Return what is known of a run at the time when its target ended."""
         ended_at = min(session.failing_since, self.clock())
-        return max(0, round((ended_at - run.started_at) * 1000))
+        age_ms = max(0, round((ended_at - run.started_at) * 1000))
+        was_running = run.was_seen_running and run.stopping_since >= ended_at
+        return CrashedRun(run.name, age_ms, was_running)
 
     def renew_lease(self, session: TargetSession) -> None:
         """Send a lease renewal if one is needed and none is pending.
@@ -457,6 +459,7 @@
             STARTS.inc()
             # Only lists requested from now on can show that it has ended.
             run.phase, run.started_at, run.last_change_at = RUNNING, now, now
+            run.was_seen_running = True
         if run.phase != RUNNING:
             return
         if percent != run.percent:
--- a/hawthorntrack/coordination/target_session.py
+++ b/hawthorntrack/coordination/target_session.py
@@ -54,6 +54,10 @@
         Start orders sent again because the one before got no answer.
     stop_reason : str
         Why it is being stopped; empty before that.
+    stopping_since : float
+        When its stop was first sent; infinity before that.
+    was_seen_running : bool
+        Whether the target has confirmed its start, or listed it as running.
     """
 
     __slots__ = (
@@ -68,7 +72,9 @@
         "phase",
         "started_at",
         "stop_reason",
+        "stopping_since",
         "unanswered_retries",
+        "was_seen_running",
     )
 
     def __init__(
@@ -92,6 +98,8 @@
         self.attempts = 0
         self.unanswered_retries = 0
         self.stop_reason = ""
+        self.stopping_since = math.inf
+        self.was_seen_running = False
 
 
 class TargetSession:
--- a/hawthorntrack/coordination/tests/test_dispatcher.py
+++ b/hawthorntrack/coordination/tests/test_dispatcher.py
@@ -9,6 +9,7 @@
 from hawthorntrack.coordination.crash_records import (
     EARLY_RUN_MS,
     MAX_CRASHES,
+    MAX_POSSIBLE_CRASHES,
     RECORD_RETENTION_S,
 )
 from hawthorntrack.coordination.dispatcher import (
@@ -1355,3 +1356,25 @@
     entry.deliver(RunsCrashed(crashed), GUARD_1)
     entry.deliver(RunsCrashed(crashed, GUARD_1.address), Incarnation("entry-1:1", "e"))
     assert not reply.done()
+
+
+def test_start_without_an_answer_is_no_evidence_that_a_task_crashed_its_target(entry):
+    """Seen on the bench: a job was failed whose task had been under one crash."""
+    reply = entry.submit()
+    for _ in range(MAX_POSSIBLE_CRASHES - 1):
+        runs = [run for _, run in entry.take_starts()]
+        crashed = tuple(CrashedRun(run, 0, was_running=False) for run in runs)
+        entry.deliver(RunsCrashed(crashed), GUARD_1)
+        for run in runs:
+            entry.end_run(GUARD_1, run, "crashed")
+        assert not reply.done()
+
+
+def test_task_that_may_have_crashed_five_targets_is_not_started_again(entry):
+    reply = entry.submit()
+    for _ in range(MAX_POSSIBLE_CRASHES):
+        for _, run in entry.take_starts():
+            entry.end_run(GUARD_1, run, "crashed")
+    assert reply.result() == Abandoned("too_many_crashes")
+    assert entry.submit().result() == Abandoned("too_many_crashes")
+    assert entry.take_starts() == []
--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -343,6 +343,18 @@
     assert sorted(body.pass_on for _, body in reports) == [False, True]
 
 
+def test_start_without_an_answer_is_reported_as_not_known_to_have_run(guard):
+    (name,) = guard.order_runs()
+    for _ in range(MAX_UNANSWERED_START_RETRIES + 1):
+        guard.answer_starts("unanswered")
+    for _ in range(2):
+        guard.answer_renewals(outcome="unreachable")
+        guard.wait(TARGET_LEASE_S)
+    guard.wait(MAX_STOP_DURATION_S)
+    (report,) = guard.take_messages(RunsCrashed)
+    assert [(run.name, run.was_running) for run in report.runs] == [(name, False)]
+
+
 @pytest.mark.parametrize(
     "outcome, end_state", [("unreachable", "crashed"), ("unanswered", "lapsed")]
 )
--- a/hawthorntrack/protocol/run_messages.py
+++ b/hawthorntrack/protocol/run_messages.py
@@ -184,10 +184,14 @@
         The task, and the run number that the guard used.
     age_ms : int
         Time from its start to the crash, in milliseconds.
+    was_running : bool
+        Whether it is known to have been in progress. A start without an answer may not
+        have begun, and a run that was being stopped may have ended before.
     """
 
     name: RunName
     age_ms: int
+    was_running: bool = True
 
 
 @message("runs_crashed")
