Tell a restarted entry instance of earlier crashes

Callers saw: after a restart of an entry instance, a job that crashes targets was placed there as if it had crashed none.

Cause: the record of crashes ends with the process, and reports are sent only when a target crashes.

An entry instance sends what it has recorded to each other one that says Hello. The part of the dispatcher that records crashes moves to a module of its own, crash_tracking.

--- a/hawthorntrack/coordination/crash_records.py
+++ b/hawthorntrack/coordination/crash_records.py
@@ -4,10 +4,12 @@
 with it, so one crash puts all of their tasks under suspicion, and most did nothing.
 """
 
+from collections import defaultdict
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from hawthorntrack.state.plans import TaskName
+from hawthorntrack.protocol.run_messages import CrashedRun
+from hawthorntrack.state.plans import RunName, TaskName
 
 # A task that crashes its target mostly does so while it starts.
 EARLY_RUN_MS = 100
@@ -36,12 +38,26 @@
     ----------
     confirmed : bool
         Whether the task is known to have been in progress.
-    early : bool
-        Whether the task had just been started.
+    age_ms : int
+        How long its run had lasted, in milliseconds.
     """
 
     confirmed: bool
-    early: bool
+    age_ms: int
+
+    @property
+    def early(self) -> bool:
+        """Return whether the task had just been started."""
+        return self.age_ms <= EARLY_RUN_MS
+
+    @property
+    def strength(self) -> tuple[bool, int]:
+        """Return what stronger evidence on the same crash has more of."""
+        return self.confirmed, -self.age_ms
+
+
+# A run ended with its target, and the guard's report on it has not arrived.
+UNKNOWN_CRASH = CrashEvidence(False, 3_600_000)
 
 
 def is_culprit(crashes: Mapping[CrashId, CrashEvidence]) -> bool:
@@ -49,7 +65,7 @@
 
     Examples
     --------
-    >>> early, late = CrashEvidence(True, True), CrashEvidence(True, False)
+    >>> early, late = CrashEvidence(True, 15), CrashEvidence(True, 900)
     >>> first, second = CrashId("guard-1:1", 1), CrashId("guard-2:1", 2)
     >>> is_culprit({first: early}), is_culprit({first: early, second: early})
     (False, True)
@@ -92,7 +108,8 @@
         record = self.jobs.pop(task.job, None)
         tasks = record.tasks if record is not None else {}
         crashes = tasks.setdefault(task, {})
-        crashes[crash] = max(evidence, crashes.get(crash, evidence))
+        known = crashes.get(crash, evidence)
+        crashes[crash] = max(known, evidence, key=lambda found: found.strength)
         self.jobs[task.job] = JobRecord(now, tasks)
         if len(self.jobs) > MAX_RECORDED_JOBS:
             del self.jobs[next(iter(self.jobs))]
@@ -102,6 +119,17 @@
         record = self.jobs.get(task.job)
         return len(record.tasks.get(task, ())) if record is not None else 0
 
+    def crashed_runs(self) -> dict[str, list[CrashedRun]]:
+        """Return the runs of all recorded crashes by guard."""
+        runs: dict[str, list[CrashedRun]] = defaultdict(list)
+        for record in self.jobs.values():
+            for task, crashes in record.tasks.items():
+                for crash, evidence in crashes.items():
+                    name = RunName(task, crash.number)
+                    known = CrashedRun(name, evidence.age_ms, evidence.confirmed)
+                    runs[crash.guard].append(known)
+        return runs
+
     def culprits(self, job: str) -> list[TaskName]:
         """Return the tasks of a job that crash targets."""
         record = self.jobs.get(job)
--- a/hawthorntrack/coordination/run_placement.py
+++ b/hawthorntrack/coordination/run_placement.py
@@ -6,13 +6,8 @@
 from statistics import median
 from typing import Any
 
-from hawthorntrack.coordination.crash_records import (
-    EARLY_RUN_MS,
-    CrashEvidence,
-    CrashId,
-    CrashRecords,
-)
-from hawthorntrack.coordination.guard_links import GuardLinks
+from hawthorntrack.coordination.crash_records import UNKNOWN_CRASH, CrashId
+from hawthorntrack.coordination.crash_tracking import CrashTracking
 from hawthorntrack.coordination.guard_peer import GuardPeer
 from hawthorntrack.coordination.job_progress import PLACED, WAITING, Job, Task
 from hawthorntrack.coordination.queue_ordering import (
@@ -36,7 +31,6 @@
     RunEnding,
     RunOrder,
     RunsAccepted,
-    RunsCrashed,
     RunsEnded,
     RunsRefused,
     StartRuns,
@@ -57,7 +51,6 @@
     Abandoned,
     Completed,
     JobFailed,
-    Verdict,
 )
 
 # Shorter than the interval of guard heartbeats, so that each regular heartbeat is
@@ -71,7 +64,7 @@
 NOMINAL_SLOWNESS = 1.0
 
 
-class RunPlacement(GuardLinks):
+class RunPlacement(CrashTracking):
     """Base of the dispatcher: owns its view of guards and of the runs placed there.
 
     Parameters
@@ -105,10 +98,8 @@
         super().__init__(send, links, clock, lease_times, working_set)
         self.zone = zone
         self.far_factor = far_factor
-        self.jobs: dict[str, Job] = {}
         self.waiting_jobs: dict[str, Job] = {}
         self.least_waiting_cpu_m = 0
-        self.crash_records = CrashRecords()
         self.shares = FairShares()
         self.queue_order = queue_orders[DEFAULT_ORDER]
         self.mean_critical_path_s: dict[str, float] = {}
@@ -117,10 +108,6 @@
         self.placement_pending = False
         self.disconnections_unread = False
 
-    def end_job(self, job: Job, verdict: Verdict) -> None:
-        """Answer a job and stop its remaining runs."""
-        raise NotImplementedError
-
     def end_unawaited_jobs(self, jobs: Iterable[Job]) -> None:
         """End those of the jobs whose callers have left or have stopped waiting."""
         raise NotImplementedError
@@ -510,12 +497,8 @@
             return
         labelled(RETRIES, f"run_{ending.end_state}").inc()
         if ending.end_state == "crashed":
-            self.crash_records.add(
-                task.name,
-                CrashId(guard, ending.number),
-                CrashEvidence(confirmed=False, early=False),
-                self.clock(),
-            )
+            crash = CrashId(guard, ending.number)
+            self.crash_records.add(task.name, crash, UNKNOWN_CRASH, self.clock())
         log_event(
             "run:ended",
             job=job.plan.key,
@@ -540,37 +523,6 @@
         if not self.give_up_culprit(job):
             self.requeue_task(job, task)
 
-    @handles(RunsCrashed)
-    def on_runs_crashed(self, crashed: RunsCrashed, sender: Incarnation) -> None:
-        """Record a crash under all of its tasks; give up jobs that crash targets."""
-        guard, now = crashed.guard or sender.address, self.clock()
-        if crashed.pass_on:
-            for address in sorted(self.working_set.entries - {self.working_set.owner}):
-                self.send(address, RunsCrashed(crashed.runs, guard))
-        for run in crashed.runs:
-            early = run.age_ms <= EARLY_RUN_MS
-            evidence = CrashEvidence(run.was_running, early)
-            crash = CrashId(guard, run.name.run)
-            self.crash_records.add(run.name.task, crash, evidence, now)
-        for key in dict.fromkeys(run.name.task.job for run in crashed.runs):
-            if key in self.jobs:
-                self.give_up_culprit(self.jobs[key])
-
-    def give_up_culprit(self, job: Job) -> bool:
-        """End a job of which a task crashes targets; return whether it did."""
-        verdict = self.crash_verdict(job.plan.key)
-        if verdict is not None:
-            self.end_job(job, verdict)
-        return verdict is not None
-
-    def crash_verdict(self, key: str) -> JobFailed | Abandoned | None:
-        """Return the verdict on a job that crashes targets, or None."""
-        if self.crash_records.culprits(key):
-            return JobFailed("task_crashes_targets")
-        if self.crash_records.is_exhausted(key):
-            return Abandoned("too_many_crashes")
-        return None
-
     def reschedule_runs(self, peer: GuardPeer) -> None:
         """Requeue the tasks of a silent guard whose runs are certainly gone."""
         runs, peer.runs = peer.runs, {}
--- a/hawthorntrack/coordination/tests/test_dispatcher.py
+++ b/hawthorntrack/coordination/tests/test_dispatcher.py
@@ -1378,3 +1378,18 @@
     assert reply.result() == Abandoned("too_many_crashes")
     assert entry.submit().result() == Abandoned("too_many_crashes")
     assert entry.take_starts() == []
+
+
+def test_restarted_entry_instance_learns_of_earlier_crashes_from_its_peers(entry, loop):
+    """Seen: the count of a task's crashes ended with the process that kept it."""
+    task = TaskName("a" * 16, 0, 0, 0)
+    for number in (1, 2):
+        entry.deliver(RunsCrashed((CrashedRun(RunName(task, number), 0),)), GUARD_1)
+    entry.deliver(Hello("entry", "olinda", "e"), Incarnation("entry-2:1", "new"))
+    restarted = DispatcherHarness(loop)
+    restarted.set_directives()
+    restarted.connect_guard(GUARD_2)
+    for to, report in entry.take_messages(RunsCrashed):
+        assert to == "entry-2:1"
+        restarted.deliver(report, Incarnation("entry-1:1", "old"))
+    assert restarted.submit().result() == JobFailed("task_crashes_targets")
