Judge whether a job is too large by the largest capacity of a target

Callers would see: a job answered as failed, which is final, with no_target_is_large_enough, because the capacities of all targets had shrunk for a moment.

Cause: a guard reported the present capacity of its target, and admission took it for what the target could ever run.

A guard reports the largest capacity of the incarnation now; the free one still follows the present capacity, runs that are being stopped included.

Evidence: test_capacity_that_shrinks_for_a_while_makes_no_job_too_large fails before. That no run begins beyond a capacity that has shrunk, a run being stopped included, held before; it has tests now.

--- a/hawthorntrack/coordination/leaseholder.py
+++ b/hawthorntrack/coordination/leaseholder.py
@@ -163,7 +163,7 @@
             state.zone,
             state.incarnation.id,
             state.labels,
-            state.capacity,
+            session.largest_capacity,
             session.offered,
             self.slowness,
             self.sequence,
--- a/hawthorntrack/coordination/run_controller.py
+++ b/hawthorntrack/coordination/run_controller.py
@@ -152,8 +152,7 @@
             return
         changed = state.draining != session.state.draining
         first = not session.announced
-        session.state, session.announced, session.departed = state, True, False
-        session.heard_at = now
+        session.update_state(state, now)
         if session.verified and (changed or first):
             self.target_record.put(TargetStateChanged(state))
         if changed:
--- a/hawthorntrack/coordination/target_session.py
+++ b/hawthorntrack/coordination/target_session.py
@@ -118,6 +118,9 @@
         Highest number of a run end that has been processed.
     ends_acknowledged : int
         Highest number of a run end whose processing was acknowledged to the target.
+    largest_capacity : Resources
+        The largest capacity that this incarnation has reported. The present one may be
+        lower for a while.
     pending_renewal : RenewLeaseOrder or None
         The renewal that is waiting for its answer.
     lease_end : float
@@ -159,6 +162,7 @@
 
     def __init__(self, state: TargetState, token: int, now: float) -> None:
         self.state = state
+        self.largest_capacity = state.capacity
         self.clock: TargetClockReading | None = None
         self.token = token
         self.fencing_refusals = 0
@@ -221,6 +225,12 @@
         """Return whether the target has reported that it drains or has ended."""
         return self.state.draining or self.departed
 
+    def update_state(self, state: TargetState, now: float) -> None:
+        """Store the state that a newer heartbeat reports."""
+        self.state, self.announced, self.departed = state, True, False
+        self.largest_capacity = self.largest_capacity.largest(state.capacity)
+        self.heard_at = now
+
     def record_failure(self, outcome: str, now: float) -> None:
         """Store that an order failed or got no answer."""
         self.failures += 1
--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -2041,3 +2041,35 @@
     guard.wait(MAX_STOP_DURATION_S)
     (report,) = guard.take_messages(RunsCrashed)
     assert [(run.name, run.isolated) for run in report.runs] == [(name, True)]
+
+
+def test_target_whose_capacity_shrinks_gets_no_runs_beyond_it(guard):
+    guard.order_runs(4)
+    guard.announce(sequence=2, capacity=Resources(4 * NEED.cpu_m, 32_768))
+    guard.order_runs(job="b" * 16)
+    assert [r.reason for r in guard.take_messages(RunsRefused)] == ["no_room"]
+
+
+def test_run_that_is_being_stopped_occupies_the_capacity_that_shrank(running):
+    guard, name = running
+    guard.deliver(StopRuns((name,)), ENTRY)
+    guard.announce(sequence=2, capacity=NEED)
+    guard.order_runs(job="b" * 16)
+    assert [r.reason for r in guard.take_messages(RunsRefused)] == ["no_room"]
+
+
+def test_capacity_that_shrinks_for_a_while_makes_no_job_too_large(guard):
+    """A job that no target could ever run is failed, which is final."""
+    guard.announce(sequence=2, capacity=Resources(100, 64))
+    guard.deliver(Hello("entry", "recife", "e"), ENTRY)
+    status = guard.take_messages(GuardHeartbeat)[-1].target_status
+    assert status.capacity == Resources(16_000, 32_768)
+    assert status.free == Resources(100, 64)
+
+
+def test_capacity_that_grows_again_is_offered(guard):
+    guard.announce(sequence=2, capacity=Resources(100, 64))
+    guard.announce(sequence=3)
+    guard.order_runs(10)
+    (accepted,) = guard.take_messages(RunsAccepted)
+    assert len(accepted.runs) == 10
--- a/hawthorntrack/protocol/run_messages.py
+++ b/hawthorntrack/protocol/run_messages.py
@@ -14,8 +14,10 @@
     ----------
     status : str
         ``ready``, ``draining``, ``unwell`` or ``absent``.
+    capacity : Resources
+        The largest capacity that the target's process has reported.
     free : Resources
-        Capacity that no run occupies.
+        Capacity that it has at present and that no run occupies.
     slowness : float
         Average ratio of measured to declared run time; 0 before the first run.
     sequence : int
--- a/hawthorntrack/state/resources.py
+++ b/hawthorntrack/state/resources.py
@@ -44,6 +44,10 @@
             self.gpus - other.gpus,
         )
 
+    def largest(self, other: "Resources") -> "Resources":
+        """Return the larger one of each amount."""
+        return Resources(*map(max, self, other))
+
     def fits_in(self, capacity: "Resources") -> bool:
         """Return whether no amount exceeds that of `capacity`."""
         return (
