Start no run beside an unknown one

Callers see nothing.

Cause: a run that its guard does not know, such as a start that was executed seconds late, occupies an amount that the guard does not know either. It was stopped at once, but until then the guard went on starting runs as if it took nothing.

The guard accepts no runs until the unknown ones have gone, as it does after its own start.

Evidence: test_no_run_begins_beside_an_unknown_one_whose_need_is_not_known fails before (the run is accepted).

--- a/hawthorntrack/coordination/leaseholder.py
+++ b/hawthorntrack/coordination/leaseholder.py
@@ -144,7 +144,8 @@
         if now - session.heard_at > TARGET_SILENCE_LIMIT_S:
             return "absent"
         unwell = session.failures > 1 or session.retry_at > now
-        usable = session.announced and session.verified
+        # What unknown runs occupy is not known until they have been stopped.
+        usable = session.announced and session.verified and not session.unknown_runs
         if unwell or not usable or self.health.ejected_until > now:
             return "unwell"
         return "ready"
--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -2073,3 +2073,18 @@
     guard.order_runs(10)
     (accepted,) = guard.take_messages(RunsAccepted)
     assert len(accepted.runs) == 10
+
+
+def test_no_run_begins_beside_an_unknown_one_whose_need_is_not_known(running):
+    """A start that was executed late, after its run had been given up, is running."""
+    guard, name = running
+    guard.take_messages(RunsAccepted)
+    unknown = RunName(TaskName("c" * 16, 0, 0, 0), 1)
+    guard.answer_renewals(running=[RunStatus(name, 1), RunStatus(unknown, 1)])
+    guard.order_runs(job="b" * 16)
+    assert [r.reason for r in guard.take_messages(RunsRefused)] == ["unwell"]
+    guard.take_orders(StopOrder)
+    guard.wait(0.1)
+    guard.answer_renewals(running=[RunStatus(name, 2)])
+    guard.order_runs(job="d" * 16)
+    assert len(guard.take_messages(RunsAccepted)) == 1
