Do not rely on a stored capacity where targets do not guard theirs

Callers see nothing.

Cause: a restarted guard takes its target's state from the store, where it was written when the target's process started. The capacity may have shrunk since, and the target's next heartbeat is up to 1.5 s away.

The guard reports whether the target itself has reported its capacity since the guard's start; until then entry instances place no tasks there if the service's targets do not enforce their capacity. Others serve at once, as before.

Evidence: test_target_that_does_not_guard_its_capacity_waits_for_its_report fails without the check (the run is sent).

--- a/hawthorntrack/coordination/leaseholder.py
+++ b/hawthorntrack/coordination/leaseholder.py
@@ -168,6 +168,7 @@
             session.offered,
             self.slowness,
             self.sequence,
+            session.capacity_is_current,
         )
 
     def schedule_capacity_report(self) -> None:
--- a/hawthorntrack/coordination/run_controller.py
+++ b/hawthorntrack/coordination/run_controller.py
@@ -137,6 +137,8 @@
             or state.incarnation.born_ms > session.state.incarnation.born_ms
         ):
             self.begin_incarnation(state, now)
+            opened = self.sessions[state.incarnation.id]
+            opened.capacity_is_current = not message.stored
             return
         if (
             contradicts
--- a/hawthorntrack/coordination/run_placement.py
+++ b/hawthorntrack/coordination/run_placement.py
@@ -35,6 +35,7 @@
     RunsEnded,
     RunsRefused,
     StartRuns,
+    TargetStatus,
 )
 from hawthorntrack.state.actor import handles
 from hawthorntrack.state.clock import Clock
@@ -166,7 +167,9 @@
         candidates = {}
         if queues:
             candidates = {
-                peer.address: peer.to_candidate() for peer in self.available_peers(now)
+                peer.address: peer.to_candidate()
+                for peer in self.available_peers(now)
+                if self.capacity_is_certain(peer.target_status)
             }
         if not candidates:
             self.request_capacity_updates(bool(queues))
@@ -208,6 +211,20 @@
             self.working_set.note_shortage()
         self.request_capacity_updates(bool(self.waiting_jobs))
 
+    def capacity_is_certain(self, status: TargetStatus) -> bool:
+        """Return whether runs that fit the reported capacity fit on the target.
+
+        Explanation
+        -----------
+        A guard that was restarted knows the capacity from the store, and it may have
+        shrunk since. Targets that enforce their capacity refuse what does not fit.
+        """
+        return status.capacity_is_current or any(
+            service.targets_enforce_capacity
+            for service in self.directives.catalogue.services
+            if service.name == status.service
+        )
+
     def update_quarantine(self, now: float) -> None:
         """Set targets apart while suspects wait, and for a while after."""
         if any(self.split_suspects(job)[1] for job in self.waiting_jobs.values()):
--- a/hawthorntrack/coordination/target_record.py
+++ b/hawthorntrack/coordination/target_record.py
@@ -70,7 +70,7 @@
                 state = self.decode(row.value) if row is not None else None
                 if state is not None and self.last_state is None:
                     log_event("target:remembered", target=state.incarnation.id)
-                    self.holder.put(TargetHeartbeat(state))
+                    self.holder.put(TargetHeartbeat(state, stored=True))
                 return
             await asyncio.sleep(pause_s)
             pause_s = min(MAX_BACKOFF_S, 2 * pause_s)
--- a/hawthorntrack/coordination/target_session.py
+++ b/hawthorntrack/coordination/target_session.py
@@ -121,6 +121,8 @@
     largest_capacity : Resources
         The largest capacity that this incarnation has reported. The present one may be
         lower for a while.
+    capacity_is_current : bool
+        Whether a heartbeat has reported the capacity since this guard started.
     pending_renewal : RenewLeaseOrder or None
         The renewal that is waiting for its answer.
     lease_end : float
@@ -163,6 +165,7 @@
     def __init__(self, state: TargetState, token: int, now: float) -> None:
         self.state = state
         self.largest_capacity = state.capacity
+        self.capacity_is_current = True
         self.clock: TargetClockReading | None = None
         self.token = token
         self.fencing_refusals = 0
@@ -228,6 +231,7 @@
     def update_state(self, state: TargetState, now: float) -> None:
         """Store the state that a newer heartbeat reports."""
         self.state, self.announced, self.departed = state, True, False
+        self.capacity_is_current = True
         self.largest_capacity = self.largest_capacity.largest(state.capacity)
         self.heard_at = now
 
--- a/hawthorntrack/coordination/tests/test_dispatcher.py
+++ b/hawthorntrack/coordination/tests/test_dispatcher.py
@@ -64,7 +64,7 @@
     TargetStatus,
 )
 from hawthorntrack.state.actor import Delivery
-from hawthorntrack.state.catalogue import Catalogue, Queue
+from hawthorntrack.state.catalogue import Catalogue, Queue, Service
 from hawthorntrack.state.directives import Directives, Member
 from hawthorntrack.state.lease_times import (
     GUARD_HEARTBEAT_INTERVAL_S,
@@ -149,8 +149,8 @@
         while self.next_pass:
             self.dispatcher.handle(self.next_pass.pop(0))
 
-    def set_directives(self, stamp=1, version=7, zones_out=()):
-        catalogue = Catalogue(version, QUEUES)
+    def set_directives(self, stamp=1, version=7, zones_out=(), services=()):
+        catalogue = Catalogue(version, QUEUES, services)
         self.deliver(
             DirectivesChanged(Directives(stamp, catalogue, frozenset(zones_out)))
         )
@@ -169,6 +169,7 @@
         status="ready",
         zone="recife",
         target="",
+        capacity_is_current=True,
     ):
         self.sequence += 1
         target_status = TargetStatus(
@@ -181,6 +182,7 @@
             free,
             slowness,
             self.sequence,
+            capacity_is_current,
         )
         self.deliver(GuardHeartbeat(round(self.time * 1000), target_status), guard)
         return target_status
@@ -1502,3 +1504,17 @@
     entry.end_crashed_runs(GUARD_1, runs)
     orders = entry.take_messages(StartRuns)
     assert {run.isolated for _, order in orders for run in order.runs} == {False}
+
+
+@pytest.mark.parametrize("enforced", [True, False])
+def test_target_that_does_not_guard_its_capacity_waits_for_its_report(
+    entry_without_guards, enforced
+):
+    """A restarted guard knows the capacity from the store; it may have shrunk since."""
+    entry = entry_without_guards
+    entry.set_directives(2, services=(Service("visits", enforced),))
+    entry.connect_guard(GUARD_1, capacity_is_current=False)
+    entry.submit()
+    assert bool(entry.take_starts()) == enforced
+    entry.send_heartbeat(GUARD_1)
+    assert bool(entry.take_starts()) != enforced
--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -159,7 +159,14 @@
         self.sent = [item for item in self.sent if type(item[1]) is not kind]
         return matching
 
-    def announce(self, incarnation=INCARNATION, sequence=1, draining=False, **changes):
+    def announce(
+        self,
+        incarnation=INCARNATION,
+        sequence=1,
+        draining=False,
+        stored=False,
+        **changes,
+    ):
         state = TargetState(
             incarnation,
             "visits",
@@ -171,7 +178,7 @@
             sequence,
             5_000,
         )
-        self.deliver(TargetHeartbeat(state._replace(**changes)))
+        self.deliver(TargetHeartbeat(state._replace(**changes), stored))
 
     def answer_renewals(self, running=(), ended=(), outcome="held"):
         """Answer all renewals that were sent, with the same run lists; return them."""
@@ -2088,3 +2095,12 @@
     guard.answer_renewals(running=[RunStatus(name, 2)])
     guard.order_runs(job="d" * 16)
     assert len(guard.take_messages(RunsAccepted)) == 1
+
+
+def test_capacity_known_only_from_the_store_is_reported_as_such(run):
+    guard = Guard()
+    guard.announce(stored=True)
+    guard.answer_renewals()
+    assert not guard.holder.target_status().capacity_is_current
+    guard.announce(sequence=2)
+    assert guard.holder.target_status().capacity_is_current
--- a/hawthorntrack/coordination/tests/test_target_record.py
+++ b/hawthorntrack/coordination/tests/test_target_record.py
@@ -86,7 +86,7 @@
 
 def test_target_is_reported_after_a_restart(run_record, store):
     assert run_record(TargetStateChanged(TARGET)) == []
-    assert run_record() == [TargetHeartbeat(TARGET)]
+    assert run_record() == [TargetHeartbeat(TARGET, stored=True)]
 
 
 def test_newest_state_of_the_target_is_stored(run_record, store):
@@ -100,7 +100,7 @@
     run_record(TargetStateChanged(TARGET))
     assert store.rows
     store.failures = 2
-    assert run_record() == [TargetHeartbeat(TARGET)]
+    assert run_record() == [TargetHeartbeat(TARGET, stored=True)]
 
 
 def test_row_is_ignored_once_a_target_has_announced_itself(run_record, store):
--- a/hawthorntrack/protocol/run_messages.py
+++ b/hawthorntrack/protocol/run_messages.py
@@ -22,6 +22,8 @@
         Average ratio of measured to declared run time; 0 before the first run.
     sequence : int
         Increases with each change at one guard; a lower one is older.
+    capacity_is_current : bool
+        Whether the target itself has reported its capacity since its guard started.
     """
 
     status: str
@@ -33,6 +35,7 @@
     free: Resources = NO_RESOURCES
     slowness: float = 1.0
     sequence: int = 0
+    capacity_is_current: bool = True
 
 
 @message("hello")
--- a/hawthorntrack/protocol/target_messages.py
+++ b/hawthorntrack/protocol/target_messages.py
@@ -128,9 +128,13 @@
     state : TargetState or str
         The reported state, or a description of the problem if the body of the
         heartbeat could not be decoded.
+    stored : bool
+        Whether the state is one that the guard had stored. Its capacity may have
+        changed since.
     """
 
     state: object
+    stored: bool = False
 
 
 class TargetStateChanged(NamedTuple):
