Let suspects not wait for a target that failed by itself

Callers saw: after the crash of one target, jobs whose tasks had just been started there waited up to 5 s, if that target was the one set apart for suspects.

Cause: every target that crashed kept its place among those that are set apart. That rule is meant for crashes under suspects, which would otherwise take one target after the other.

Evidence: found by the whole test run on (test_late_starts[0.15], whose task ran nowhere 3 s after the crash); the new test fails before.

Entry instances of the model site are linked to each other only in the tests that need it: two tests count the links and messages of the model (test_fleet_costs, test_working_sets), and failed on for the links that had added to it.

--- a/hawthorntrack/coordination/crash_tracking.py
+++ b/hawthorntrack/coordination/crash_tracking.py
@@ -74,7 +74,8 @@
                 CrashEvidence(run.was_running, run.age_ms, run.isolated),
                 now,
             )
-        self.quarantine.note_crash(guard, now)
+        if any(run.isolated for run in crashed.runs):
+            self.quarantine.note_crash(guard, now)
         if any(self.crash_records.suspects(run.name.task.job) for run in crashed.runs):
             self.quarantine.extend(now)
         for key in dict.fromkeys(run.name.task.job for run in crashed.runs):
--- a/hawthorntrack/coordination/quarantine.py
+++ b/hawthorntrack/coordination/quarantine.py
@@ -18,8 +18,8 @@
 # Other work keeps away for this long after the newest suspicion, so that a target that
 # was cleared for suspects does not fill up between two of them.
 QUARANTINE_LINGER_S = 2.0
-# A target that crashed keeps its place for this long, so that suspects do not take one
-# target after the other.
+# A target that crashed under a suspect keeps its place for this long, so that suspects
+# do not take one target after the other.
 RETURN_LIMIT_S = 5.0
 
 
@@ -54,7 +54,8 @@
     active_until : float
         When other work may use these targets again, in seconds.
     crashed_at : dict of str to float
-        Time of the newest crash of the target beside a guard, in seconds.
+        Time of the newest crash under a suspect of the target beside a guard, in
+        seconds.
     """
 
     def __init__(self) -> None:
@@ -62,7 +63,7 @@
         self.crashed_at: dict[str, float] = {}
 
     def note_crash(self, guard: str, now: float) -> None:
-        """Record that the target beside a guard crashed."""
+        """Record that the target beside a guard crashed under a suspect."""
         self.crashed_at[guard] = now
 
     def extend(self, now: float) -> None:
--- a/hawthorntrack/coordination/tests/test_dispatcher.py
+++ b/hawthorntrack/coordination/tests/test_dispatcher.py
@@ -1518,3 +1518,19 @@
     assert bool(entry.take_starts()) == enforced
     entry.send_heartbeat(GUARD_1)
     assert bool(entry.take_starts()) != enforced
+
+
+def test_suspect_does_not_wait_for_the_target_that_crashed_under_it(entry):
+    """Seen: the target that was set apart had itself failed, and kept its place."""
+    guards = {guard.address: guard for guard in (GUARD_1, GUARD_2, GUARD_3)}
+    (apart,) = choose_quarantine("visits", guards)
+    for guard in guards.values():
+        entry.connect_guard(guard, free=CAPACITY if guard.address == apart else NEED)
+    entry.submit(steps=(StepSpec(1, NEED, 0.4),))
+    ((address, run),) = entry.take_starts()
+    assert address == apart
+    entry.deliver(RunsCrashed((CrashedRun(run, 0),)), guards[apart])
+    entry.send_heartbeat(guards[apart], status="unwell")
+    entry.end_crashed_runs(guards[apart], [run])
+    ((address, _),) = entry.take_starts()
+    assert address != apart
--- a/hawthorntrack/experiment/model_site.py
+++ b/hawthorntrack/experiment/model_site.py
@@ -397,10 +397,7 @@
         dispatcher.queue_order = self.order
         process.start(dispatcher, ENTRY_TICK_S)
         dispatcher.mailbox.put(DirectivesChanged(self.directives))
-        self.entries = [e for e in self.entries if e.me.address != address]
-        for other in self.entries:
-            self.link(other, process)
-        self.entries.append(process)
+        self.entries = [e for e in self.entries if e.me.address != address] + [process]
         members = map(member_of, [*self.entries, *self.guards])
         dispatcher.mailbox.put(MembersKnown(tuple(members)))
         self.announce(process)
--- a/hawthorntrack/experiment/tests/test_crashing_tasks.py
+++ b/hawthorntrack/experiment/tests/test_crashing_tasks.py
@@ -53,6 +53,14 @@
         self.failed_ordinary_jobs = []
         self.crashing_tasks = []
 
+    def start_entry(self, address, zone):
+        """Start an entry instance, and link it to the others."""
+        process = super().start_entry(address, zone)
+        for other in self.entries:
+            if other is not process:
+                self.link(other, process)
+        return process
+
     def on_run_started(self, target, name):
         super().on_run_started(target, name)
         if self.crashes[name.task] >= CRASHES_BEFORE_LIMIT:
