Show crowds on the callers' address that exhaust an entry instance

Callers would see an entry instance end, as it runs out of memory, or answer none of them: clients that nobody controls open connections that send large bodies, tiny chunks or endless heads, stop short of the end and stay open.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 WORKERS ?= 6
 PYTEST_ARGS ?=
 
-.PHONY: setup demo test lint model bench slopes microbench clean
+.PHONY: setup demo test crowds lint model bench slopes microbench clean
 
 $(VENV)/.ready: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -21,7 +21,12 @@
 # Side by side: tests take their ports by worker; those that run whole deployments stay
 # with one of them and begin first.
 test: setup
-	$(BIN)/python -m pytest -n $(WORKERS) --dist loadgroup $(PYTEST_ARGS)
+	$(BIN)/python -m pytest -n $(WORKERS) --dist loadgroup -m "not crowd" $(PYTEST_ARGS)
+
+# Crowds of connections against real processes, one test at a time.
+crowds: setup
+	$(BIN)/python -m pytest -n 0 -m crowd $(PYTEST_ARGS) \
+		hawthorntrack/experiment/tests/test_crowds.py
 
 lint: setup
 	$(BIN)/ruff format --check hawthorntrack
