Bound what all connections of an HTTP server hold together

Callers saw: while clients that do not behave pressed on an entry instance, its memory grew beyond its machine's, and it answered nobody.

Cause: every bound was per request, and none covered heads or all connections together. A legal body was buffered in full for each connection, reads of 256 KB were decoded in one go, and tiny chunks take about 10 us each, so one pass of the event loop took seconds.

Each connection passes a gate now. It reads 4 KB at a time. A head over 4 KB or a body over 8 KB needs one of 32 turns (max_long_requests); others wait, and are answered 503 after 5 s. Decoding gets 2 ms in each pass of the event loop, shortest read first, so ordinary requests overtake the parts of long ones. A head over 20 KB, or one that does not arrive within 5 s, closes the connection. Beyond 3,000 connections (max_caller_connections) the one whose head has been arriving longest, or that has been idle longest, is closed for a new one; never one with a request. The addresses for readiness checks, targets' reports and metrics use the same gate.

Heads up to the configured 16 KB are served whatever their lines; a line over 8 KB, or more than 128 lines, was refused. A chunked body over the limit is refused with 413; it was read on, up to 1 MB.

--- a/hawthorntrack/daemon/entry_node.py
+++ b/hawthorntrack/daemon/entry_node.py
@@ -6,6 +6,7 @@
 from hawthorntrack.state.clock import seconds_since_boot
 from hawthorntrack.state.event_log import log_event
 from hawthorntrack.state.node_settings import NodeSettings
+from hawthorntrack.transport.connection_gate import ConnectionLimits
 from hawthorntrack.transport.http_server import HttpServer
 
 DISPATCHER_TICK_S = 0.02  # upper bound on the delay of a refusal
@@ -36,11 +37,14 @@
         settings.max_guard_links,
     )
     callers_handler = CallersHandler(dispatcher.mailbox)
+    limits = ConnectionLimits(
+        settings.max_caller_connections, settings.max_long_requests
+    )
     node.bus.listeners.append(dispatcher.mailbox)
     store_watcher = node.add_store_watcher([dispatcher.mailbox])
     node.add_routes(dispatcher)
     node.servers += [
-        HttpServer(settings.callers, callers_handler.answer),
+        HttpServer(settings.callers, callers_handler.answer, limits),
         HttpServer(settings.balancer, readiness.answer),
     ]
     await node.run(
--- a/hawthorntrack/experiment/crowds.py
+++ b/hawthorntrack/experiment/crowds.py
@@ -135,7 +135,10 @@
         except (OSError, TimeoutError):
             return
 
-    def leave(self) -> None:
+    async def leave(self) -> None:
         """Abort all connections."""
         for writer in self.writers:
             writer.transport.abort()
+            writer.close()
+        closed = (writer.wait_closed() for writer in self.writers)
+        await asyncio.gather(*closed, return_exceptions=True)
--- a/hawthorntrack/experiment/tests/test_crowds.py
+++ b/hawthorntrack/experiment/tests/test_crowds.py
@@ -92,7 +92,7 @@
         await crowd.attack()
         descriptors = count_descriptors(pid)
         beside = await answer_to_job(site, address, 1)
-        crowd.leave()
+        await crowd.leave()
         after = await answer_to_job(site, address, 2)
         await wait_for_descriptors(pid, idle + DESCRIPTORS_LEFT_OVER)
         alive = node.alive
--- a/hawthorntrack/platform/entry_http.py
+++ b/hawthorntrack/platform/entry_http.py
@@ -30,7 +30,11 @@
     Refused,
     UnknownJob,
 )
-from hawthorntrack.transport.http_server import connection_state
+from hawthorntrack.transport.http_server import (
+    connection_state,
+    gate_of,
+    read_body,
+)
 
 DEADLINE_HEADER = "Hawthorntrack-Deadline-Ms"
 DEFAULT_DEADLINE_S = 30.0
@@ -38,7 +42,6 @@
 JOB_KEY_LENGTH = 16
 HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 READY_PATH = "/v1/ready"
-BODY_TIMEOUT_S = 5.0
 
 responses: Registry[Any] = Registry("response to a verdict")
 
@@ -199,10 +202,12 @@
         if (request.content_length or 0) > self.max_body_bytes:
             labelled(BAD_INPUT, "callers", "body_size").inc()
             return json_response({"error": "body_too_large"}, 413)
+        gate = gate_of(request)
         try:
-            async with asyncio.timeout(BODY_TIMEOUT_S):
-                body = await request.read()
+            body = await read_body(request, self.max_body_bytes)
         except TimeoutError:
+            if gate is not None and gate.has_waited:
+                return refused(Refused("too_many_long_requests", 1))
             return json_response({"error": "body_not_received"}, 408)
         except web.HTTPRequestEntityTooLarge:
             labelled(BAD_INPUT, "callers", "body_size").inc()
--- a/hawthorntrack/platform/targets.py
+++ b/hawthorntrack/platform/targets.py
@@ -31,8 +31,10 @@
 from hawthorntrack.state.mailbox import Mailbox
 from hawthorntrack.state.metrics import BAD_INPUT, labelled
 from hawthorntrack.state.values import Incarnation
+from hawthorntrack.transport.http_server import read_body
 
 MAX_CONNECTIONS = 12
+MAX_HEARTBEAT_BYTES = 1_048_576
 KEEPALIVE_S = 60.0
 HEARTBEATS_PATH = "/v1/executors/"
 INSTANCE_HEADER = "Hawthorntrack-Expected-Instance"
@@ -235,7 +237,11 @@
             return web.Response(status=405)
         try:
             self.events.put(
-                TargetHeartbeat(decode_heartbeat(target, await request.read()))
+                TargetHeartbeat(
+                    decode_heartbeat(
+                        target, await read_body(request, MAX_HEARTBEAT_BYTES)
+                    )
+                )
             )
         except Malformed as error:
             labelled(BAD_INPUT, "heartbeat", "malformed").inc()
--- a/hawthorntrack/platform/tests/test_calls.py
+++ b/hawthorntrack/platform/tests/test_calls.py
@@ -400,3 +400,20 @@
 
     sent_at, arrived_at = with_server(CallersHandler(dispatcher).answer, scenario)
     assert arrived_at == pytest.approx(sent_at, abs=0.2)
+
+
+def test_chunked_body_over_the_limit_is_refused(with_server):
+    """It states no length, and was read up to four times the limit."""
+
+    async def scenario(address):
+        async def chunks():
+            for _ in range(17):
+                yield b"x" * 16_384
+
+        async with aiohttp.ClientSession() as session:
+            url = f"http://{address}/lohu930/5c0e7a21d94b36f8"
+            async with session.post(url, data=chunks()) as response:
+                return response.status
+
+    handler = CallersHandler(Mailbox("dispatcher"))
+    assert with_server(handler.answer, scenario) == 413
--- a/hawthorntrack/state/metrics.py
+++ b/hawthorntrack/state/metrics.py
@@ -19,6 +19,9 @@
 BAD_INPUT = Counter(
     "hawthorntrack_bad_input", "Invalid input refused.", ["edge", "reason"]
 )
+CONNECTIONS_CLOSED = Counter(
+    "hawthorntrack_connections_closed", "Connections that a limit closed.", ["reason"]
+)
 MAILBOX_FULL = Counter(
     "hawthorntrack_mailbox_full", "Messages dropped by a full mailbox.", ["task"]
 )
--- a/hawthorntrack/state/node_settings.py
+++ b/hawthorntrack/state/node_settings.py
@@ -20,6 +20,10 @@
 LinkCount = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
 # A tenth of the descriptors of the smallest machines that entry instances run on.
 MAX_GUARD_LINKS = 160
+# Three quarters of the same descriptors.
+MAX_CALLER_CONNECTIONS = 3_000
+# Callers whose requests are longer than 4 KB of head or 8 KB of body, at a time.
+MAX_LONG_REQUESTS = 32
 
 
 class NodeListenBody(TypedDict):
@@ -47,6 +51,8 @@
     max_target_lease_ms: NotRequired[Milliseconds | None]
     stop_ms: NotRequired[Milliseconds | None]
     max_guard_links: NotRequired[LinkCount]
+    max_caller_connections: NotRequired[LinkCount]
+    max_long_requests: NotRequired[LinkCount]
 
 
 class NodeSettings(NamedTuple):
@@ -78,6 +84,10 @@
         Durations of leases, which follow from the deployment's times.
     max_guard_links : int
         Largest number of guards that an entry instance keeps links to.
+    max_caller_connections : int
+        Largest number of callers' connections to an entry instance.
+    max_long_requests : int
+        Largest number of callers that send a long request at a time.
     """
 
     node: str
@@ -94,6 +104,8 @@
     far_factor: float
     lease_times: LeaseTimes
     max_guard_links: int
+    max_caller_connections: int
+    max_long_requests: int
 
 
 def parse_node_settings(data: Any, source: str) -> NodeSettings:
@@ -128,6 +140,10 @@
         far_factor=body.get("far_factor", 1.0),
         lease_times=check_lease_times(body, source),
         max_guard_links=body.get("max_guard_links", MAX_GUARD_LINKS),
+        max_caller_connections=body.get(
+            "max_caller_connections", MAX_CALLER_CONNECTIONS
+        ),
+        max_long_requests=body.get("max_long_requests", MAX_LONG_REQUESTS),
     )
 
 
--- a/hawthorntrack/transport/http_server.py
+++ b/hawthorntrack/transport/http_server.py
@@ -1,5 +1,6 @@
 """HTTP server with a single request handler, and the metrics handler."""
 
+import asyncio
 import socket
 import struct
 from collections.abc import Callable, Coroutine
@@ -8,12 +9,22 @@
 from aiohttp import web
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
+from hawthorntrack.transport.connection_gate import (
+    MAX_HEAD_BYTES,
+    ConnectionGate,
+    ConnectionLimits,
+    GatedServer,
+)
+
 KEEPALIVE_S = 75.0
 BACKLOG = 512
 SHUTDOWN_TIMEOUT_S = 0.5
 # An idle connection is probed at this interval, the kernel's shortest. A client whose
 # reset got lost answers the first probe with another one.
 PROBE_INTERVAL_S = 1
+BODY_TIMEOUT_S = 5.0
+# The shortest header line, with its end, has this many bytes.
+SHORTEST_HEADER_BYTES = 4
 
 # The first fields of `struct tcp_info`: eight of one byte, the first of which is the
 # state, and twelve of four bytes, the last of which is the time since data arrived.
@@ -72,21 +83,34 @@
         Coroutine function that answers each request. It is cancelled when the
         client closes the connection, at most `PROBE_INTERVAL_S` later if the closing
         got lost on the way.
+    limits : ConnectionLimits
+        Limits on the connections all together.
     """
 
-    def __init__(self, address: str, handler: Handler) -> None:
+    def __init__(
+        self,
+        address: str,
+        handler: Handler,
+        limits: ConnectionLimits = ConnectionLimits(),
+    ) -> None:
         self.address = address
         self.handler = handler
+        self.limits = limits
         self.runner: web.ServerRunner | None = None
+        self.sweeper: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Open the socket and accept requests."""
         host, _, port = self.address.rpartition(":")
-        server = web.Server(
-            self.handler,
+        server = GatedServer(
+            self.answer,
+            self.limits,
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=KEEPALIVE_S,
+            max_line_size=MAX_HEAD_BYTES,
+            max_field_size=MAX_HEAD_BYTES,
+            max_headers=MAX_HEAD_BYTES // SHORTEST_HEADER_BYTES,
         )
         self.runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await self.runner.setup()
@@ -100,13 +124,54 @@
         for option in (socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL):
             listener.setsockopt(socket.IPPROTO_TCP, option, PROBE_INTERVAL_S)
         await web.SockSite(self.runner, listener, backlog=BACKLOG).start()
+        self.sweeper = asyncio.create_task(server.table.sweep())
+
+    async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request, and note its begin and its end at the connection."""
+        gate = gate_of(request)
+        if gate is None:
+            return await self.handler(request)
+        gate.begin_request()
+        try:
+            return await self.handler(request)
+        finally:
+            gate.end_request()
 
     async def stop(self) -> None:
         """Close the socket; open requests get `SHUTDOWN_TIMEOUT_S` to finish."""
+        if self.sweeper is not None:
+            self.sweeper.cancel()
         if self.runner is not None:
             await self.runner.cleanup()
 
 
+def gate_of(request: web.BaseRequest) -> ConnectionGate | None:
+    """Return the gate of a request's connection; None once that is closed."""
+    return getattr(request.transport, "gate", None)
+
+
+async def read_body(request: web.BaseRequest, max_bytes: int) -> bytes:
+    """Return the body of a request.
+
+    Raises
+    ------
+    TimeoutError
+        If it has not arrived after `BODY_TIMEOUT_S`.
+    aiohttp.web.HTTPRequestEntityTooLarge
+        If it is longer than `max_bytes`.
+    """
+    gate = gate_of(request)
+    body = bytearray()
+    async with asyncio.timeout(BODY_TIMEOUT_S):
+        while part := await request.content.readany():
+            body += part
+            if len(body) > max_bytes:
+                raise web.HTTPRequestEntityTooLarge(max_bytes, len(body))
+    if gate is not None:
+        gate.end_body()
+    return bytes(body)
+
+
 async def show_metrics(request: web.BaseRequest) -> web.Response:
     """Answer with the process's metrics in the format of Prometheus."""
     if request.path != "/metrics":
