Derive the bound on callers' connections from the machine

Callers would see nothing; an entry instance on one of the smaller machines (160 MB, 1,638 descriptors on the grown sites) would meet its descriptors or its memory before 3,000 connections.

The settings carry the machine's memory and descriptors now, filled in by the platform. Half of the memory, at 48 KB a connection, and three quarters of the descriptors give the bound; without them it is 1,000.

--- a/hawthorntrack/state/node_settings.py
+++ b/hawthorntrack/state/node_settings.py
@@ -17,15 +17,47 @@
 Seconds = Annotated[float, msgspec.Meta(ge=0)]
 Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=600_000)]
 Factor = Annotated[float, msgspec.Meta(ge=1)]
+Megabytes = Annotated[float, msgspec.Meta(ge=1, le=10_000_000)]
 LinkCount = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
 # A tenth of the descriptors of the smallest machines that entry instances run on.
 MAX_GUARD_LINKS = 160
-# Three quarters of the same descriptors.
-MAX_CALLER_CONNECTIONS = 3_000
+# Where the machine's memory and descriptors are not given.
+MAX_CALLER_CONNECTIONS = 1_000
+# Callers' connections may take this share of the memory and of the descriptors.
+CONNECTIONS_MEMORY_SHARE = 0.5
+CONNECTIONS_DESCRIPTOR_SHARE = 0.75
+# What one of many stalled connections takes at most (docs/CAPACITY.md).
+CONNECTION_KB = 48
+# Descriptors that the platform reserves for files.
+RESERVED_DESCRIPTORS = 200
 # Callers whose requests are longer than 4 KB of head or 8 KB of body, at a time.
 MAX_LONG_REQUESTS = 32
 
 
+def derive_caller_connections(memory_mb: float, descriptors: int) -> int:
+    """Return how many callers' connections a machine bears; 0 means not given.
+
+    Examples
+    --------
+    >>> derive_caller_connections(300, 4_100), derive_caller_connections(160, 1_638)
+    (2925, 1078)
+    >>> derive_caller_connections(0, 0)
+    1000
+    """
+    bounds = [
+        bound
+        for given, bound in (
+            (memory_mb, memory_mb * 1024 * CONNECTIONS_MEMORY_SHARE / CONNECTION_KB),
+            (
+                descriptors,
+                (descriptors - RESERVED_DESCRIPTORS) * CONNECTIONS_DESCRIPTOR_SHARE,
+            ),
+        )
+        if given
+    ]
+    return max(1, int(min(bounds, default=MAX_CALLER_CONNECTIONS)))
+
+
 class NodeListenBody(TypedDict):
     """Listening addresses, ``ip:port``; the role decides which ones are given."""
 
@@ -51,6 +83,8 @@
     max_target_lease_ms: NotRequired[Milliseconds | None]
     stop_ms: NotRequired[Milliseconds | None]
     max_guard_links: NotRequired[LinkCount]
+    memory_mb: NotRequired[Megabytes | None]
+    descriptors: NotRequired[LinkCount | None]
     max_caller_connections: NotRequired[LinkCount]
     max_long_requests: NotRequired[LinkCount]
 
@@ -140,8 +174,9 @@
         far_factor=body.get("far_factor", 1.0),
         lease_times=check_lease_times(body, source),
         max_guard_links=body.get("max_guard_links", MAX_GUARD_LINKS),
-        max_caller_connections=body.get(
-            "max_caller_connections", MAX_CALLER_CONNECTIONS
+        max_caller_connections=body.get("max_caller_connections")
+        or derive_caller_connections(
+            body.get("memory_mb") or 0, body.get("descriptors") or 0
         ),
         max_long_requests=body.get("max_long_requests", MAX_LONG_REQUESTS),
     )
