Set no target apart where only one is in service

Callers would see: a service with a single target in service served nothing but suspects for 2 s after each crash, since its only target was set apart.

Cause: the share of targets that are set apart is rounded up, and one of one is all of them.

With fewer than two targets in service none is set apart, and suspects are placed like other tasks; the limits on crashes hold as before.

--- a/hawthorntrack/coordination/quarantine.py
+++ b/hawthorntrack/coordination/quarantine.py
@@ -15,6 +15,8 @@
 
 # Share of a service's targets, rounded up.
 QUARANTINE_SHARE = 0.05
+# With fewer targets in service, none is set apart: no other work would be left.
+MIN_TARGETS = 2
 # Other work keeps away for this long after the newest suspicion, so that a target that
 # was cleared for suspects does not fill up between two of them.
 QUARANTINE_LINGER_S = 2.0
@@ -28,10 +30,10 @@
 
     Examples
     --------
-    >>> quarantine_size(11), quarantine_size(160), quarantine_size(0)
+    >>> quarantine_size(11), quarantine_size(160), quarantine_size(1)
     (1, 8, 0)
     """
-    return math.ceil(QUARANTINE_SHARE * targets)
+    return math.ceil(QUARANTINE_SHARE * targets) if targets >= MIN_TARGETS else 0
 
 
 def choose_quarantine(service: str, guards: Iterable[str]) -> list[str]:
@@ -72,18 +74,17 @@
 
     def guards(
         self, peers: Iterable[GuardPeer], zones_out: frozenset[str], now: float
-    ) -> frozenset[str]:
-        """Return the addresses of the guards whose targets are set apart now."""
+    ) -> dict[str, frozenset[str]]:
+        """Return the guards whose targets are set apart now, by service."""
         if now >= self.active_until:
-            return frozenset()
+            return {}
         by_service: dict[str, list[str]] = defaultdict(list)
         for peer in peers:
             crashed_at = self.crashed_at.get(peer.address, -math.inf)
             returns = peer.linked and now < crashed_at + RETURN_LIMIT_S
             if returns or peer.is_in_service(now, zones_out):
                 by_service[peer.target_status.service].append(peer.address)
-        return frozenset(
-            address
+        return {
+            service: frozenset(choose_quarantine(service, addresses))
             for service, addresses in by_service.items()
-            for address in choose_quarantine(service, addresses)
-        )
+        }
--- a/hawthorntrack/coordination/run_placement.py
+++ b/hawthorntrack/coordination/run_placement.py
@@ -87,8 +87,9 @@
         Smallest need among the tasks that the last placement left waiting, in
         thousandths of a core; 0 if no guard accepted runs, infinity if only suspects
         wait.
-    quarantined : frozenset of str
-        Guards whose targets were set apart for suspects at the last placement.
+    quarantined : dict of str to frozenset of str
+        For each service, the guards whose targets were set apart for suspects at the
+        last placement.
     """
 
     def __init__(
@@ -106,7 +107,7 @@
         self.far_factor = far_factor
         self.waiting_jobs: dict[str, Job] = {}
         self.least_waiting_cpu_m: float = 0
-        self.quarantined: frozenset[str] = frozenset()
+        self.quarantined: dict[str, frozenset[str]] = {}
         self.shares = FairShares()
         self.queue_order = queue_orders[DEFAULT_ORDER]
         self.mean_critical_path_s: dict[str, float] = {}
@@ -140,7 +141,7 @@
             free = peer.to_candidate().free
             self.placement_pending |= (
                 free.cpu_m >= self.least_waiting_cpu_m
-                or peer.address in self.quarantined
+                or peer.address in self.set_apart(peer.target_status.service)
             )
 
     def prune_waiting_jobs(self) -> None:
@@ -227,17 +228,32 @@
 
     def update_quarantine(self, now: float) -> None:
         """Set targets apart while suspects wait, and for a while after."""
-        if any(self.split_suspects(job)[1] for job in self.waiting_jobs.values()):
+        if any(
+            task.name in suspects
+            for key, job in self.waiting_jobs.items()
+            if (suspects := self.crash_records.suspects(key))
+            for task in job.waiting()
+        ):
             self.quarantine.extend(now)
         self.quarantined = self.quarantine.guards(
             self.peers.values(), self.directives.zones_out, now
         )
 
+    def set_apart(self, service: str) -> frozenset[str]:
+        """Return the guards of a service whose targets are set apart for suspects."""
+        return self.quarantined.get(service, frozenset())
+
     def split_suspects(self, job: Job) -> tuple[list[Task], list[Task]]:
-        """Return a job's waiting tasks: those without suspicion, and the suspects."""
-        suspects = self.crash_records.suspects(job.plan.key)
+        """Return a job's waiting tasks: those to be placed as usual, and in isolation.
+
+        Explanation
+        -----------
+        Where too few targets are in service to set one apart, suspects are placed like
+        other tasks.
+        """
         waiting = job.waiting()
-        if not suspects:
+        suspects = self.crash_records.suspects(job.plan.key)
+        if not suspects or not self.set_apart(job.queue.service):
             return waiting, []
         return (
             [task for task in waiting if task.name not in suspects],
@@ -294,6 +310,7 @@
         so that they hold up no other job of their queue.
         """
         unsuspected, suspects = self.split_suspects(job)
+        set_apart = self.set_apart(job.queue.service)
         self.place_suspects(job, suspects, candidates, batches)
         waited_s = math.inf if job.begun else now - job.arrived
         max_wait_s = job.placement_deadline_at - job.arrived
@@ -304,7 +321,7 @@
                     candidate
                     for candidate in candidates.values()
                     if candidate.target_status.service == job.queue.service
-                    and candidate.address not in self.quarantined
+                    and candidate.address not in set_apart
                 ),
                 task.step,
                 self.zone,
@@ -337,8 +354,8 @@
             candidate = choose_target(
                 (
                     candidates[address]
-                    for address in sorted(self.quarantined & candidates.keys())
-                    if candidates[address].target_status.service == job.queue.service
+                    for address in sorted(self.set_apart(job.queue.service))
+                    if address in candidates
                 ),
                 task.step,
                 self.zone,
--- a/hawthorntrack/coordination/tests/test_dispatcher.py
+++ b/hawthorntrack/coordination/tests/test_dispatcher.py
@@ -1534,3 +1534,26 @@
     entry.end_crashed_runs(guards[apart], [run])
     ((address, _),) = entry.take_starts()
     assert address != apart
+
+
+def test_only_target_of_a_service_is_not_set_apart(entry):
+    """Nothing else would be left for the other jobs."""
+    entry.submit(steps=(StepSpec(1, NEED, 0.4),))
+    ((_, run),) = entry.take_starts()
+    entry.crash_target(GUARD_1, [run])
+    (order,) = [order for _, order in entry.take_messages(StartRuns)]
+    assert [run.isolated for run in order.runs] == [False]
+    entry.submit("b" * 16, steps=(StepSpec(1, NEED, 0.4),))
+    assert [run.task.job for _, run in entry.take_starts()] == ["b" * 16]
+
+
+def test_suspect_waits_for_room_on_the_only_target_of_its_service(entry):
+    entry.submit(steps=(StepSpec(1, NEED, 0.4),))
+    ((_, run),) = entry.take_starts()
+    entry.deliver(RunsCrashed((CrashedRun(run, 0),)), GUARD_1)
+    entry.send_heartbeat(GUARD_1, free=Resources(0, 0))
+    entry.end_crashed_runs(GUARD_1, [run])
+    entry.advance(0.02)
+    assert entry.take_starts() == []
+    entry.send_heartbeat(GUARD_1)
+    assert [run.task.job for _, run in entry.take_starts()] == ["a" * 16]
