End the crowds' test run cleanly

It came once in five runs.

A relay whose connection is cancelled aborts the accepted side, and each test collects what is left at once, where an error of a collected writer is only a warning. No check is changed.

--- a/hawthorntrack/experiment/relays.py
+++ b/hawthorntrack/experiment/relays.py
@@ -62,6 +62,9 @@
         except OSError:
             writer.close()
             return
+        except asyncio.CancelledError:
+            writer.transport.abort()
+            raise
         ends = ((reader, far_writer, self.forward), (far_reader, writer, self.backward))
         for source, sink, direction in ends:
             self.writers.add(sink)
--- a/hawthorntrack/experiment/tests/test_crowds.py
+++ b/hawthorntrack/experiment/tests/test_crowds.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import gc
 import os
 from pathlib import Path
 
@@ -105,6 +106,8 @@
 def test_crowd_ends_no_process_and_an_ordinary_job_is_answered(base_port, kind):
     block = (base_port // 1_000) % 40
     alive, memory_mb, descriptors, beside, after = asyncio.run(play(kind, block))
+    # A writer that is collected while pytest compiles a module ends the run.
+    gc.collect()
     assert alive
     assert beside == after == (200, {"state": "completed"})
     assert memory_mb <= MEMORY_MB
