Let a crash that is reported again have no effect

Callers would see: a job that had crashed targets failed for longer than two minutes after the last crash, and less capacity for 2 s whenever two entry instances were linked again, since targets were set apart for suspects that had long been answered.

Cause: entry instances repeat all crashes that they have recorded to each peer that links to them, and a report passed on arrives beside the guard's own. Each repetition renewed the retention of the record and the time for which targets are set apart.

A report counts only if it says something new about a crash. The look-up of a job's record, written four times, stands in one function.

Evidence: both new tests fail before (the job is failed; the target that was set apart gets nothing). After: the dispatcher's, the records' and the crashing tasks' tests pass.

--- a/hawthorntrack/coordination/crash_records.py
+++ b/hawthorntrack/coordination/crash_records.py
@@ -124,26 +124,32 @@
 
     def add(
         self, task: TaskName, crash: CrashId, evidence: CrashEvidence, now: float
-    ) -> None:
-        """Record a crash.
+    ) -> bool:
+        """Record a crash; return whether that says anything new.
 
         Explanation
         -----------
         The end of a run says less than its guard's report, and either may arrive first.
         """
-        record = self.jobs.pop(task.job, None)
-        tasks = record.tasks if record is not None else {}
-        crashes = tasks.setdefault(task, {})
-        known = crashes.get(crash, evidence)
-        crashes[crash] = max(known, evidence, key=lambda found: found.strength)
+        tasks = self.crashes_by_task(task.job)
+        known = tasks.get(task, {}).get(crash)
+        if known is not None and known.strength >= evidence.strength:
+            return False
+        tasks.setdefault(task, {})[crash] = evidence
+        self.jobs.pop(task.job, None)
         self.jobs[task.job] = JobRecord(now, tasks)
         if len(self.jobs) > MAX_RECORDED_JOBS:
             del self.jobs[next(iter(self.jobs))]
+        return True
+
+    def crashes_by_task(self, job: str) -> dict[TaskName, dict[CrashId, CrashEvidence]]:
+        """Return the crashes under the tasks of a job; empty if there is no record."""
+        record = self.jobs.get(job)
+        return record.tasks if record is not None else {}
 
     def count(self, task: TaskName) -> int:
         """Return the number of crashes under a task."""
-        record = self.jobs.get(task.job)
-        return len(record.tasks.get(task, ())) if record is not None else 0
+        return len(self.crashes_by_task(task.job).get(task, ()))
 
     def crashed_runs(self) -> dict[str, list[CrashedRun]]:
         """Return the runs of all recorded crashes by guard."""
@@ -164,23 +170,18 @@
 
     def culprits(self, job: str) -> list[TaskName]:
         """Return the tasks of a job that crash targets."""
-        record = self.jobs.get(job)
-        tasks = record.tasks if record is not None else {}
-        return [task for task, crashes in tasks.items() if is_culprit(crashes)]
+        tasks = self.crashes_by_task(job).items()
+        return [task for task, crashes in tasks if is_culprit(crashes)]
 
     def suspects(self, job: str) -> frozenset[TaskName]:
         """Return the tasks of a job that are to run in isolation."""
-        record = self.jobs.get(job)
-        if record is None:
-            return frozenset()
-        tasks = record.tasks.items()
+        tasks = self.crashes_by_task(job).items()
         return frozenset(task for task, crashes in tasks if is_suspect(crashes))
 
     def is_exhausted(self, job: str) -> bool:
         """Return whether a task of a job may have crashed too many targets already."""
-        record = self.jobs.get(job)
-        tasks = record.tasks if record is not None else {}
-        return any(len(found) >= MAX_POSSIBLE_CRASHES for found in tasks.values())
+        found = self.crashes_by_task(job).values()
+        return any(len(crashes) >= MAX_POSSIBLE_CRASHES for crashes in found)
 
     def expire(self, now: float) -> None:
         """Forget jobs without a crash for `RECORD_RETENTION_S`."""
--- a/hawthorntrack/coordination/crash_tracking.py
+++ b/hawthorntrack/coordination/crash_tracking.py
@@ -62,23 +62,32 @@
 
     @handles(RunsCrashed)
     def on_runs_crashed(self, crashed: RunsCrashed, sender: Incarnation) -> None:
-        """Record a crash under all of its tasks; give up jobs that crash targets."""
+        """Record a crash under all of its tasks; give up jobs that crash targets.
+
+        Explanation
+        -----------
+        What was reported before, for instance by the guard and by a peer, has no effect
+        again.
+        """
         guard, now = crashed.guard or sender.address, self.clock()
         if crashed.pass_on:
             for address in sorted(self.working_set.entries - {self.working_set.owner}):
                 self.send(address, RunsCrashed(crashed.runs, guard))
-        for run in crashed.runs:
-            self.crash_records.add(
+        news = [
+            run
+            for run in crashed.runs
+            if self.crash_records.add(
                 run.name.task,
                 CrashId(guard, run.name.run),
                 CrashEvidence(run.was_running, run.age_ms, run.isolated),
                 now,
             )
-        if any(run.isolated for run in crashed.runs):
+        ]
+        if any(run.isolated for run in news):
             self.quarantine.note_crash(guard, now)
-        if any(self.crash_records.suspects(run.name.task.job) for run in crashed.runs):
-            self.quarantine.extend(now)
-        for key in dict.fromkeys(run.name.task.job for run in crashed.runs):
+        for key in dict.fromkeys(run.name.task.job for run in news):
+            if self.crash_records.suspects(key):
+                self.quarantine.extend(now)
             if key in self.jobs:
                 self.give_up_culprit(self.jobs[key])
 
--- a/hawthorntrack/coordination/tests/test_dispatcher.py
+++ b/hawthorntrack/coordination/tests/test_dispatcher.py
@@ -1557,3 +1557,34 @@
     assert entry.take_starts() == []
     entry.send_heartbeat(GUARD_1)
     assert [run.task.job for _, run in entry.take_starts()] == ["a" * 16]
+
+
+def test_crashes_that_a_peer_repeats_set_no_target_apart_again(entry_with_suspect):
+    """Entry instances repeat all that they recorded whenever they are linked."""
+    entry, _, apart = entry_with_suspect
+    ((_, run),) = entry.take_starts()
+    entry.end_run(apart, run)
+    entry.time += QUARANTINE_LINGER_S
+    known = entry.dispatcher.crash_records.crashed_runs().items()
+    for guard, runs in list(known):
+        report = RunsCrashed(tuple(runs), guard)
+        entry.deliver(report, Incarnation("entry-2:1", "e"))
+    for guard in (GUARD_1, GUARD_2, GUARD_3):
+        entry.send_heartbeat(guard)
+    entry.submit("b" * 16, steps=(StepSpec(30, NEED, 0.4),))
+    assert apart.address in {address for address, _ in entry.take_starts()}
+
+
+def test_crashes_that_a_peer_repeats_are_forgotten_in_time(entry):
+    task = TaskName("a" * 16, 0, 0, 0)
+    reports = [RunsCrashed((CrashedRun(RunName(task, n), 0),)) for n in (1, 2)]
+    for report in reports:
+        entry.deliver(report, GUARD_1)
+    entry.time += RECORD_RETENTION_S - 1
+    for report in reports:
+        repeated = report._replace(guard=GUARD_1.address)
+        entry.deliver(repeated, Incarnation("entry-2:1", "e"))
+    entry.time += 1
+    entry.send_heartbeat(GUARD_1)
+    entry.advance(0.02)
+    assert not entry.submit().done()
