Check a body's length in one place, and pause reading only on a change

Callers see nothing. The size of a body was checked once by its stated length in the callers' handler and once more while it is read, with the same answer twice; heartbeats had only the second check. Each read and each step of a request resumed the connection's reading although nothing had paused it.

read_body checks the stated length as well; the gate pauses or resumes only when that changes.

Result: the tests of platform and transport pass.

--- a/hawthorntrack/platform/entry_http.py
+++ b/hawthorntrack/platform/entry_http.py
@@ -199,9 +199,6 @@
         the dispatcher does not start the job.
         """
         arrived_at = self.clock() - connection_state(request).silence_s
-        if (request.content_length or 0) > self.max_body_bytes:
-            labelled(BAD_INPUT, "callers", "body_size").inc()
-            return json_response({"error": "body_too_large"}, 413)
         gate = gate_of(request)
         try:
             body = await read_body(request, self.max_body_bytes)
--- a/hawthorntrack/transport/connection_gate.py
+++ b/hawthorntrack/transport/connection_gate.py
@@ -78,8 +78,9 @@
 
     def hold(self, held: bool) -> None:
         """Pause reading for the gate, or resume it unless the protocol has paused."""
-        self.paused_by_gate = held
-        self.apply()
+        if held != self.paused_by_gate:
+            self.paused_by_gate = held
+            self.apply()
 
     def apply(self) -> None:
         """Pause reading if either side wants it."""
--- a/hawthorntrack/transport/http_server.py
+++ b/hawthorntrack/transport/http_server.py
@@ -161,6 +161,8 @@
         If it is longer than `max_bytes`.
     """
     gate = gate_of(request)
+    if (request.content_length or 0) > max_bytes:
+        raise web.HTTPRequestEntityTooLarge(max_bytes, request.content_length)
     body = bytearray()
     async with asyncio.timeout(BODY_TIMEOUT_S):
         while part := await request.content.readany():
