--- a/review/standin-2/harness.py
+++ b/review/standin-2/harness.py
@@ -176,6 +176,7 @@
         self.runs, self.highest, self.ends = {}, {}, []
         self.end_count = self.token = self.lease_ms = self.seq = 0
         self.listed = asyncio.Event()
+        self.state, self.draining_since = "ready", None
         self.up = True
         self.close = await serve(self.host, self.deployment.app_port, self.handle)
         self.lease_task = asyncio.create_task(self.watch_lease())
@@ -185,7 +186,7 @@
     async def crash(self):
         """End at once; all that runs here ends with it."""
         self.up = False
-        self.record(f"{self.name} crashes")
+        self.record(f"{self.name} ends")
         self.lease_task.cancel()
         self.beat_task.cancel()
         for run in list(self.runs.values()):
@@ -196,30 +197,39 @@
     def clock_ms(self):
         return int((time.monotonic() - self.began) * 1000)
 
+    def heartbeat(self):
+        return {
+            "service": self.deployment.service,
+            "address": f"{self.host}:{self.deployment.app_port}",
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 8,
+            "state": self.state,
+            "cold_remaining_ms": 0,
+            "capacity": {"cpu": self.cpu, "mem_mb": 32768, "gpu": 0},
+            "labels": self.labels,
+            "clock_ms": self.clock_ms(),
+            "seq": self.seq,
+            "born": self.born,
+        }
+
+    @property
+    def heartbeat_url(self):
+        return f"http://{self.guard}/v1/executors/{self.id}"
+
     async def beat(self):
         async with ClientSession(timeout=ClientTimeout(1)) as session:
             while True:
                 self.seq += 1
-                body = {
-                    "service": self.deployment.service,
-                    "address": f"{self.host}:{self.deployment.app_port}",
-                    "zone": self.zone,
-                    "version": "v1",
-                    "slots": 8,
-                    "state": "ready",
-                    "cold_remaining_ms": 0,
-                    "capacity": {"cpu": self.cpu, "mem_mb": 32768, "gpu": 0},
-                    "labels": self.labels,
-                    "clock_ms": self.clock_ms(),
-                    "seq": self.seq,
-                    "born": self.born,
-                }
-                url = f"http://{self.guard}/v1/executors/{self.id}"
+                body = self.heartbeat()
                 pause_s = HEARTBEAT_S
                 try:
-                    async with session.put(url, json=body) as response:
+                    async with session.put(self.heartbeat_url, json=body) as response:
                         if response.status // 100 != 2:
                             pause_s = 0.3
+                        elif body["state"] == "draining" and self.draining_since is None:
+                            self.draining_since = self.record.now()
+                            self.record(f"{self.name}: draining was acknowledged")
                 except (OSError, TimeoutError):
                     pause_s = 0.3
                 except Exception as error:
@@ -227,6 +237,21 @@
                     pause_s = 0.3
                 await asyncio.sleep(pause_s)
 
+    def drain(self):
+        """Say at once, and from now on, that it is draining."""
+        self.record(f"{self.name} drains")
+        self.state = "draining"
+        self.beat_task.cancel()
+        self.beat_task = asyncio.create_task(self.beat())
+
+    async def leave(self):
+        """Send the departure, and end."""
+        self.beat_task.cancel()
+        async with ClientSession(timeout=ClientTimeout(1)) as session:
+            async with session.delete(self.heartbeat_url) as response:
+                self.record(f"{self.name} departs: {response.status}")
+        await self.crash()
+
     async def watch_lease(self):
         while True:
             await asyncio.sleep(0.01)
@@ -248,7 +273,7 @@
                     f"{self.name} leaves start {body['task']} run {body['run']}"
                     f" unanswered (token {body['fencing_token']})"
                 )
-                self.held.append((time.monotonic() + after_s, body))
+                self.held.append((time.monotonic() + after_s, body, self.id))
                 await asyncio.sleep(5)
                 return answer({}, 503)
         if body["fencing_token"] < self.token:
