--- a/review/standin-2/harness.py
+++ b/review/standin-2/harness.py
@@ -164,6 +164,7 @@
         self.guard, self.labels, self.cpu = guard, labels, cpu
         self.id = f"i-{name}"
         self.up = False
+        self.guards_capacity = True
         self.runs = {}
         self.late_starts = None  # share of the starts that are carried out late
         self.held = []  # late starts: (when it may be carried out, body)
@@ -314,7 +315,8 @@
         if known is not None or number <= self.highest.get(task, 0):
             return self.refuse("old")
         spec = json.loads(body["spec"])
-        if sum(run.cpu for run in self.runs.values()) + spec["cpu"] > self.cpu:
+        used = sum(run.cpu for run in self.runs.values())
+        if self.guards_capacity and used + spec["cpu"] > self.cpu:
             return self.refuse("room")
         run = self.runs[task] = Run(task, number, spec["work_s"], spec["cpu"])
         loop = asyncio.get_running_loop()
