--- a/review/standin-2/harness.py
+++ b/review/standin-2/harness.py
@@ -10,6 +10,7 @@
 import os
 import random
 import re
+import shutil
 import signal
 import socket
 import sys
@@ -24,6 +25,7 @@
 HEARTBEAT_S = 1.5
 HOLD_MAX_MS = 1000
 STOP_S = 0.03
+LATE_HEADER = "Stand-In-Late"  # marks a call that was held up on its way
 BOUNDS = {
     "grace_s": 6,
     "remote_factor": 1.5,
@@ -166,8 +168,8 @@
         self.up = False
         self.guards_capacity = True
         self.runs = {}
-        self.late_starts = None  # share of the starts that are carried out late
-        self.held = []  # late starts: (when it may be carried out, body)
+        self.late_starts = None  # returns by how much a start is late, or None
+        self.held = []  # late starts: (when it may be delivered, body, id)
 
     # One life
 
@@ -228,7 +230,9 @@
                     async with session.put(self.heartbeat_url, json=body) as response:
                         if response.status // 100 != 2:
                             pause_s = 0.3
-                        elif body["state"] == "draining" and self.draining_since is None:
+                        elif (
+                            body["state"] == "draining" and self.draining_since is None
+                        ):
                             self.draining_since = self.record.now()
                             self.record(f"{self.name}: draining was acknowledged")
                 except (OSError, TimeoutError):
@@ -267,12 +271,13 @@
         life = self.born
         if request.headers.get("Hawthorntrack-Expected-Instance") != self.id:
             return answer({}, 421)
-        if request.path == "/v1/run-start" and self.late_starts is not None:
+        late = LATE_HEADER in request.headers
+        if request.path == "/v1/run-start" and self.late_starts and not late:
             after_s = self.late_starts(body)
             if after_s is not None:
                 self.record(
-                    f"{self.name} leaves start {body['task']} run {body['run']}"
-                    f" unanswered (token {body['fencing_token']})"
+                    f"start {body['task']} run {body['run']} to {self.name} is held"
+                    f" up on its way (token {body['fencing_token']})"
                 )
                 self.held.append((time.monotonic() + after_s, body, self.id))
                 await asyncio.sleep(5)
@@ -288,14 +293,20 @@
             return await self.hold(body, life)
         return answer({}, 404)
 
-    def carry_out(self, body):
-        """Carry out a start late, as the life that is up now."""
-        if body["fencing_token"] < self.token:
-            self.record(f"{self.name} refuses the late start {body['task']}: fence")
-            return
-        self.token = body["fencing_token"]
-        status = self.start(body).status
-        self.record(f"{self.name} carried out the late start {body['task']}: {status}")
+    async def deliver(self, body):
+        """Deliver a start that was held up on its way, as a call of its own.
+
+        Whichever life is up now gets it; nobody reads the answer.
+        """
+        url = f"http://{self.host}:{self.deployment.app_port}/v1/run-start"
+        headers = {"Hawthorntrack-Expected-Instance": self.id, LATE_HEADER: "1"}
+        async with ClientSession(timeout=ClientTimeout(1)) as session:
+            async with session.post(url, json=body, headers=headers) as response:
+                text = (await response.read()).decode()
+                self.record(
+                    f"{self.name} got the late start {body['task']} run {body['run']}:"
+                    f" {response.status} {text}"
+                )
 
     def refuse(self, reason):
         return answer({"clock_ms": self.clock_ms(), "reason": reason}, 409)
@@ -380,6 +391,14 @@
         return min(99, int(100 * share))
 
 
+class Connection:
+    """One connection through a relay: its two processes, and whether it is silent."""
+
+    def __init__(self, ends):
+        self.ends = ends
+        self.silent = False
+
+
 class Relay:
     """Passes TCP connections on to one address, and holds their bytes during a cut.
 
@@ -393,10 +412,20 @@
 
     def __init__(self, deployment, host, port, destination, ends):
         self.deployment = deployment
-        self.host, self.port, self.destination, self.ends = host, port, destination, ends
+        self.host, self.port, self.destination, self.ends = (
+            host,
+            port,
+            destination,
+            ends,
+        )
 
     async def begin(self):
-        await asyncio.start_server(self.connect, self.host, self.port)
+        await asyncio.start_server(self.accept, self.host, self.port)
+
+    def accept(self, reader, writer):
+        task = asyncio.ensure_future(self.connect(reader, writer))
+        self.deployment.tasks.add(task)
+        task.add_done_callback(self.deployment.tasks.discard)
 
     async def connect(self, reader, writer):
         ends = set(self.ends)
@@ -407,33 +436,39 @@
             for node in (*self.deployment.entries, *self.deployment.guards)
             if node.advertised.encode() in first
         }
+        connection = Connection(ends)
+        self.deployment.connections.add(connection)
         far_writer = None
         try:
-            await self.wait(ends)
+            await self.wait(connection)
             far_reader, far_writer = await asyncio.open_connection(host, int(port))
             far_writer.write(first)
             await asyncio.gather(
-                self.copy(reader, far_writer, ends), self.copy(far_reader, writer, ends)
+                self.copy(reader, far_writer, connection),
+                self.copy(far_reader, writer, connection),
             )
         except (OSError, TimeoutError):
             pass
         finally:
+            self.deployment.connections.discard(connection)
             for end in (writer, far_writer):
                 if end is not None:
                     end.transport.abort()
 
-    async def wait(self, ends):
-        """Wait until the connection's ends can reach each other."""
+    async def wait(self, connection):
+        """Wait until bytes pass; give up where they have been held for too long."""
         since = time.monotonic()
-        while self.deployment.cut & ends:
+        while self.deployment.cut & connection.ends or connection.silent:
             await asyncio.sleep(0.01)
+            if connection.silent and time.monotonic() > since + self.GIVE_UP_S:
+                break
         if time.monotonic() > since + self.GIVE_UP_S:
             raise TimeoutError
 
-    async def copy(self, reader, writer, ends):
+    async def copy(self, reader, writer, connection):
         while True:
             data = await reader.read(65536)
-            await self.wait(ends)
+            await self.wait(connection)
             if not data:
                 raise ConnectionResetError
             writer.write(data)
@@ -495,7 +530,10 @@
             ],
             "listen": self.listen,
             "bounds": BOUNDS,
-            "limits": {"memory_mb": 300 if self.role == "entry" else 168, "max_fds": 4096},
+            "limits": {
+                "memory_mb": 300 if self.role == "entry" else 168,
+                "max_fds": 4096,
+            },
             "platform": {"address": self.store_address},
         }
         path = deployment.folder / f"{self.name}.yaml"
@@ -506,7 +544,9 @@
             )
         path.write_text(text)
         environment = {
-            name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ
+            name: os.environ[name]
+            for name in ("PATH", "HOME", "LANG")
+            if name in os.environ
         }
         environment |= role.get("env", {})
         environment |= {
@@ -573,6 +613,8 @@
         self.cpu, self.max_attempts = cpu, max_attempts
         self.relayed = relayed
         self.cut = set()  # names of the programs that are cut off
+        self.connections = set()  # those through the relays
+        self.tasks = set()
         self.net = f"127.{random.randint(16, 250)}.{random.randint(1, 250)}."
         base = self.free_ports()
         names = ("peers", "metrics", "front", "ready", "control", "store")
@@ -621,7 +663,9 @@
 
     def note_start(self, target, run):
         self.record(f"{target.name} starts {run.task} run {run.run}")
-        self.history.append([run.task, run.run, target.name, self.record.now(), None, ""])
+        self.history.append(
+            [run.task, run.run, target.name, self.record.now(), None, ""]
+        )
         for check in self.on_start:
             check(target, run)
 
@@ -665,9 +709,7 @@
                     (ports["peers"], peers),
                     (ports["store"], self.store_address),
                 ):
-                    relay = Relay(
-                        self, node.relay_host, port, destination, {node.name}
-                    )
+                    relay = Relay(self, node.relay_host, port, destination, {node.name})
                     await relay.begin()
         for node in (*self.entries, *self.guards):
             await node.start()
@@ -720,6 +762,15 @@
         self.cut.add(name)
         self.record(f"{name} is cut off")
 
+    def silence(self):
+        """Let all open connections between programs go silent for good.
+
+        No end is reset or closed; new connections work.
+        """
+        for connection in self.connections:
+            connection.silent = True
+        self.record(f"{len(self.connections)} open connections go silent")
+
     def heal(self):
         """End the cuts."""
         self.record(f"{', '.join(sorted(self.cut))}: the cut ends")
@@ -734,6 +785,7 @@
             if target.up:
                 target.lease_task.cancel()
                 target.beat_task.cancel()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def new_key():
@@ -745,6 +797,8 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def whole():
+        loop, this = asyncio.get_running_loop(), asyncio.current_task()
+        loop.add_signal_handler(signal.SIGTERM, this.cancel)
         deployment = Deployment(folder, **options)
         try:
             await deployment.begin()
@@ -755,7 +809,7 @@
 
     try:
         broken = asyncio.run(whole())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         print(f"could not run: {type(error).__name__}: {error}")
         sys.exit(2)
     print("the rule was broken" if broken else "the rule held")
