Watch as long without the disruption as with it, and stay inside quoted limits

Cause: with TROUBLE=0 cases 7 and 8 ended as soon as the cancelled job was answered, so that they could not fail, case 7 cancelled 1 s earlier than with the cut, and no case had a TROUBLE=0 run of its last form. An error before the case began exited with 1, like a broken rule.

--- a/review/standin-2/harness.py
+++ b/review/standin-2/harness.py
@@ -166,6 +166,7 @@
         self.guard, self.labels, self.cpu = guard, labels, cpu
         self.id = f"i-{name}"
         self.up = False
+        self.held_at = None  # when its guard last asked for its lists
         self.guards_capacity = True
         self.runs = {}
         self.late_starts = None  # returns by how much a start is late, or None
@@ -358,6 +359,7 @@
         self.listed.set()
 
     async def hold(self, body, life):
+        self.held_at = self.record.now()
         if "deadline_ms" in body:
             self.extend(body["deadline_ms"])
         seen = body["acked_upto"]
@@ -717,8 +719,24 @@
         self.configure()
         for entry in self.entries:
             await self.wait_ready(entry)
+        await self.wait_until(
+            lambda: all(target.held_at for target in self.targets),
+            "not all guards have asked their targets for their lists",
+        )
         await asyncio.sleep(3.5)  # all machines are in touch
 
+    async def wait_until(self, holds, problem, limit_s=20):
+        """Wait until a condition holds; the case couldn't run if it never does."""
+        until = time.monotonic() + limit_s
+        while not holds():
+            if time.monotonic() > until:
+                raise RuntimeError(problem)
+            await asyncio.sleep(0.01)
+
+    async def watch_until(self, at_s):
+        """Let the deployment run on until a time of the record."""
+        await asyncio.sleep(max(0.0, at_s - self.record.now()))
+
     async def wait_ready(self, entry, limit_s=30):
         until = time.monotonic() + limit_s
         async with ClientSession(timeout=ClientTimeout(1)) as session:
@@ -762,14 +780,20 @@
         self.cut.add(name)
         self.record(f"{name} is cut off")
 
-    def silence(self):
-        """Let all open connections between programs go silent for good.
+    def silence(self, *names):
+        """Let the open connections between some programs go silent for good.
 
         No end is reset or closed; new connections work.
         """
-        for connection in self.connections:
+        silent = [c for c in self.connections if c.ends == set(names)]
+        if not silent:
+            raise RuntimeError("there is no such connection")
+        for connection in silent:
             connection.silent = True
-        self.record(f"{len(self.connections)} open connections go silent")
+        self.record(
+            f"{len(silent)} of {len(self.connections)} open connections goes silent,"
+            f" between {' and '.join(names)}"
+        )
 
     def heal(self):
         """End the cuts."""
@@ -793,7 +817,11 @@
 
 
 def run_case(folder, case, **options):
-    """Run a case; exit with 1 if the rule broke, 0 if it held, 2 if it couldn't run."""
+    """Run a case; exit with 10 if the rule broke, 0 if it held, 2 if it couldn't run.
+
+    `run.sh` exits with 1 for 10, and with 2 for anything else, so that an error before
+    this function isn't taken for a broken rule.
+    """
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def whole():
@@ -813,4 +841,4 @@
         print(f"could not run: {type(error).__name__}: {error}")
         sys.exit(2)
     print("the rule was broken" if broken else "the rule held")
-    sys.exit(1 if broken else 0)
+    sys.exit(10 if broken else 0)
