Define the messages and the setting by which guards offer capacity

Nothing is sent yet. Result: unit tests of state, protocol and coordination pass; no behaviour changed.

--- a/hawthorntrack/coordination/dispatcher.py
+++ b/hawthorntrack/coordination/dispatcher.py
@@ -12,7 +12,7 @@
     objective_s,
     retry_after_s,
 )
-from hawthorntrack.coordination.run_placement import RunPlacement
+from hawthorntrack.coordination.room_requests import RoomRequests
 from hawthorntrack.coordination.target_selection import is_feasible
 from hawthorntrack.coordination.working_set import WorkingSet
 from hawthorntrack.protocol.job_requests import (
@@ -98,7 +98,7 @@
     passes_left: int
 
 
-class Dispatcher(RunPlacement):
+class Dispatcher(RoomRequests):
     """Actor that owns the open jobs of one entry instance.
 
     Parameters
@@ -126,6 +126,8 @@
         Address of this instance; its order of preference among guards follows from it.
     max_guard_links : int
         Largest number of guards that this instance keeps links to.
+    share_room : bool
+        Whether guards offer free capacity to waiting tasks of all entry instances.
     """
 
     def __init__(
@@ -141,9 +143,12 @@
         lease_times: LeaseTimes,
         address: str = "",
         max_guard_links: int = MAX_GUARD_LINKS,
+        share_room: bool = False,
     ) -> None:
         working_set = WorkingSet(address, zone, max_guard_links)
-        super().__init__(zone, far_factor, send, links, clock, lease_times, working_set)
+        super().__init__(
+            zone, far_factor, send, links, clock, lease_times, working_set, share_room
+        )
         self.drained = drained
         self.on_ready = on_ready
         self.index = QueueIndex(self.directives.catalogue)
--- a/hawthorntrack/coordination/leaseholder.py
+++ b/hawthorntrack/coordination/leaseholder.py
@@ -10,7 +10,7 @@
 from typing import Any, NamedTuple
 
 from hawthorntrack.coordination import leases
-from hawthorntrack.coordination.run_controller import RunController
+from hawthorntrack.coordination.room_offering import RoomOffering
 from hawthorntrack.coordination.run_reconciler import TARGET_SILENCE_LIMIT_S
 from hawthorntrack.coordination.target_session import (
     Run,
@@ -65,7 +65,7 @@
     owner: str
 
 
-class LeaseHolder(RunController):
+class LeaseHolder(RoomOffering):
     """Owns the runs on the targets beside this guard.
 
     Parameters
@@ -86,6 +86,8 @@
         Durations of leases.
     awake_clock : callable
         Returns seconds, without time for which the machine was suspended.
+    share_room : bool
+        Whether free capacity is offered to waiting tasks of all entry instances.
 
     Attributes
     ----------
@@ -115,11 +117,18 @@
         first_token: int,
         lease_times: LeaseTimes,
         awake_clock: Clock,
+        share_room: bool = False,
     ) -> None:
         super().__init__(
-            calls, target_record, clock, first_token, lease_times, awake_clock
+            calls,
+            target_record,
+            clock,
+            first_token,
+            lease_times,
+            awake_clock,
+            send,
+            share_room,
         )
-        self.send = send
         self.drained = drained
         self.entry_nonces: dict[str, str] = {}
         self.linked_entries: set[str] = set()
--- /dev/null
+++ b/hawthorntrack/coordination/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on how waiting tasks share capacity: functions over values, without I/O."""
--- a/hawthorntrack/daemon/entry_node.py
+++ b/hawthorntrack/daemon/entry_node.py
@@ -35,6 +35,7 @@
         settings.lease_times,
         settings.advertised,
         settings.max_guard_links,
+        settings.share_room,
     )
     callers_handler = CallersHandler(dispatcher.mailbox)
     limits = ConnectionLimits(
--- a/hawthorntrack/daemon/guard_node.py
+++ b/hawthorntrack/daemon/guard_node.py
@@ -35,6 +35,7 @@
         int(time.time() * 1000),
         settings.lease_times,
         seconds_awake,
+        settings.share_room,
     )
     target_calls.replies = target_record.holder = lease_holder.mailbox
     node.bus.listeners.append(lease_holder.mailbox)
--- a/hawthorntrack/experiment/model_site.py
+++ b/hawthorntrack/experiment/model_site.py
@@ -292,6 +292,8 @@
         Seed of all random choices.
     order : str
         Name of the order in which waiting jobs get capacity.
+    share_room : bool
+        Whether guards offer free capacity to waiting tasks of all entry instances.
 
     Attributes
     ----------
@@ -303,8 +305,15 @@
         Time of the first run on each target.
     """
 
-    def __init__(self, site: Site, seed: int, order: str = DEFAULT_ORDER) -> None:
+    def __init__(
+        self,
+        site: Site,
+        seed: int,
+        order: str = DEFAULT_ORDER,
+        share_room: bool = True,
+    ) -> None:
         self.site = site
+        self.share_room = share_room
         self.order = queue_orders[order]
         self.rng = random.Random(seed)
         self.network = Network()
@@ -393,6 +402,7 @@
             DRAIN_S,
             derive_lease_times(DeploymentTimes()),
             address,
+            share_room=self.share_room,
         )
         dispatcher.queue_order = self.order
         process.start(dispatcher, ENTRY_TICK_S)
@@ -424,6 +434,7 @@
             1_000,
             derive_lease_times(DeploymentTimes()),
             self.clock,
+            self.share_room,
         )
         target.replies = holder.mailbox
         process.start(holder, GUARD_TICK_S)
--- a/hawthorntrack/protocol/run_messages.py
+++ b/hawthorntrack/protocol/run_messages.py
@@ -1,11 +1,53 @@
 """Messages between entry instances and guards about runs on leased targets."""
 
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
+
+import msgspec
 
 from hawthorntrack.protocol.messages import message
 from hawthorntrack.state.plans import RunName
 from hawthorntrack.state.resources import NO_RESOURCES, Resources
 
+# Integers up to this one are exact in every codec. Sums and products of the values
+# that it bounds stay far from any overflow.
+MAX_SAFE_INTEGER = 2**53 - 1
+# A deployment's configuration has tens of queues.
+MAX_DEMANDS = 64
+MAX_QUEUE_NAME_LENGTH = 200
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_SAFE_INTEGER)]
+QueueName = Annotated[str, msgspec.Meta(max_length=MAX_QUEUE_NAME_LENGTH)]
+
+
+class BoundedResources(NamedTuple):
+    """Resources in a message whose amounts are checked when it is decoded.
+
+    Explanation
+    -----------
+    It has the fields of `Resources`, and `to_resources` converts it.
+    """
+
+    cpu_m: Count = 0
+    memory_mb: Count = 0
+    gpus: Count = 0
+
+    def to_resources(self) -> Resources:
+        """Return the amounts as `Resources`."""
+        return Resources(*self)
+
+
+class QueueWait(NamedTuple):
+    """Expected wait of a new task of one queue at a guard.
+
+    Attributes
+    ----------
+    wait_ms : int
+        Time in milliseconds until the guard would start the task.
+    """
+
+    queue: QueueName
+    wait_ms: Count
+
 
 class TargetStatus(NamedTuple):
     """State and free capacity of a guard's target.
@@ -24,6 +66,11 @@
         Increases with each change at one guard; a lower one is older.
     capacity_is_current : bool
         Whether the target itself has reported its capacity since its guard started.
+    queue_waits : tuple of QueueWait
+        Expected waits of the queues that have demand at the guard.
+    free_soon_cpu_m : tuple of int
+        Processor capacity that is expected to be free within each of
+        `LOOK_AHEAD_HORIZONS_S`, in thousandths of a core; empty if it is not reported.
     """
 
     status: str
@@ -36,6 +83,8 @@
     slowness: float = 1.0
     sequence: int = 0
     capacity_is_current: bool = True
+    queue_waits: tuple[QueueWait, ...] = ()
+    free_soon_cpu_m: tuple[int, ...] = ()
 
 
 @message("hello")
@@ -123,12 +172,110 @@
         received. The guard recognises a delayed order by it and refuses the order.
     remaining_ms : int
         Time left until the job's deadline when the message was sent.
+    queue : str
+        Queue of the job, whose share the work is charged to; empty if it is not shared.
+    offer : int
+        Number of the `OfferRoom` that the runs use; 0 for none.
     """
 
     guard_clock_ms: int
     payload: str
     remaining_ms: int
     runs: tuple[RunOrder, ...]
+    queue: QueueName = ""
+    offer: Count = 0
+
+
+class QueueDemand(NamedTuple):
+    """Tasks of one queue that wait at an entry instance and may run at a guard.
+
+    Attributes
+    ----------
+    priority : int
+        Priority of the queue; 0 is the highest.
+    waited_ms : int
+        Wait of the oldest of the jobs so far, in milliseconds.
+    tasks : int
+        Number of waiting tasks.
+    smallest : BoundedResources
+        Smallest need among them.
+    first : BoundedResources
+        Need of a task of the oldest job.
+    run_ms : int
+        Declared run time of a task of the oldest job, in milliseconds.
+    shortest_run_ms : int
+        Shortest declared run time among the tasks, in milliseconds.
+    work_ms : int
+        Core-milliseconds of all the tasks, divided by the number of guards to which
+        they are reported.
+    """
+
+    queue: QueueName
+    priority: Count
+    waited_ms: Count
+    tasks: Count
+    smallest: BoundedResources
+    first: BoundedResources
+    run_ms: Count
+    shortest_run_ms: Count
+    work_ms: Count
+
+
+Demands = Annotated[tuple[QueueDemand, ...], msgspec.Meta(max_length=MAX_DEMANDS)]
+
+
+@message("report_demand")
+class ReportDemand(NamedTuple):
+    """An entry instance reports which of its waiting tasks a guard could run.
+
+    Explanation
+    -----------
+    It replaces the sender's earlier report; an empty one withdraws it.
+    """
+
+    demands: Demands
+
+
+@message("offer_room")
+class OfferRoom(NamedTuple):
+    """A guard reserves capacity for an entry instance's waiting tasks.
+
+    Attributes
+    ----------
+    offer : int
+        Number of the offer, which increases at one guard.
+    queue : str
+        Queue whose tasks are to use the capacity.
+    room : BoundedResources
+        The reserved capacity.
+    valid_ms : int
+        Time in milliseconds, by the guard's clock, after which the reservation ends.
+    max_run_ms : int
+        Longest declared run time of a task that may use the capacity, in milliseconds;
+        0 for no limit.
+    """
+
+    offer: Count
+    queue: QueueName
+    room: BoundedResources
+    valid_ms: Count
+    max_run_ms: Count = 0
+
+
+@message("close_offer")
+class CloseOffer(NamedTuple):
+    """An entry instance has used as much of an offer as it needs.
+
+    Attributes
+    ----------
+    offer : int
+        Number of the offer. The runs that use it were ordered before, on the same link.
+    demands : tuple of QueueDemand
+        The tasks that still wait, as in `ReportDemand`.
+    """
+
+    offer: Count
+    demands: Demands
 
 
 @message("runs_taken")
--- a/hawthorntrack/state/node_settings.py
+++ b/hawthorntrack/state/node_settings.py
@@ -87,6 +87,7 @@
     descriptors: NotRequired[LinkCount | None]
     max_caller_connections: NotRequired[LinkCount]
     max_long_requests: NotRequired[LinkCount]
+    share_room: NotRequired[bool]
 
 
 class NodeSettings(NamedTuple):
@@ -122,6 +123,9 @@
         Largest number of callers' connections to an entry instance.
     max_long_requests : int
         Largest number of callers that send a long request at a time.
+    share_room : bool
+        Whether guards offer free capacity to waiting tasks in one order for all entry
+        instances.
     """
 
     node: str
@@ -140,6 +144,7 @@
     max_guard_links: int
     max_caller_connections: int
     max_long_requests: int
+    share_room: bool
 
 
 def parse_node_settings(data: Any, source: str) -> NodeSettings:
@@ -179,6 +184,7 @@
             body.get("memory_mb") or 0, body.get("descriptors") or 0
         ),
         max_long_requests=body.get("max_long_requests", MAX_LONG_REQUESTS),
+        share_room=body.get("share_room", False),
     )
 
 
