Ask guards for capacity while tasks wait, and start tasks in what they offer

Cause: entry instances with waiting tasks order starts whenever a guard reports free capacity, and most of these orders are refused. A flood of messages also delayed placement until its end. Change: with share_room, an instance reports what waits to a bounded number of guards, uses their offers for its best tasks that fit, and closes each with the remaining demand. Without share_room nothing changes.

--- a/hawthorntrack/coordination/dispatcher.py
+++ b/hawthorntrack/coordination/dispatcher.py
@@ -162,7 +162,7 @@
         self.drain_complete = False
 
     def handle(self, message: Any) -> None:
-        """Handle one message; place waiting tasks once the mailbox is empty."""
+        """Handle one message; then place waiting tasks if that is due."""
         now = self.clock()
         if self.handled_at and now - self.handled_at > SUSPENSION_THRESHOLD_S:
             self.notice_suspension(now - self.handled_at)
@@ -170,13 +170,7 @@
         if self.sockets_read_at and now - self.sockets_read_at > MAX_READ_INTERVAL_S:
             self.wait_for_disconnections()
         super().handle(message)
-        if (
-            self.placement_pending
-            and not self.disconnections_unread
-            and self.mailbox.queue.empty()
-        ):
-            self.placement_pending = False
-            self.place_waiting()
+        self.place_if_due(now)
 
     def wait_for_disconnections(self) -> None:
         """Defer placement and lease confirmations until the sockets have been read.
@@ -213,6 +207,7 @@
         log_event("process:stood_still", lasted_s=round(lasted_s, 3))
         for job in self.jobs.values():
             job.process_suspended = True
+            self.note_job_changed(job)
         for peer in self.peers.values():
             peer.heard_at = min(peer.heard_at, self.clock() - LINK_TIMEOUT_S / 2)
 
@@ -412,6 +407,7 @@
         name = exposed_name(type(verdict)).lower()
         reason = getattr(verdict, "reason", "")
         self.jobs.pop(job.plan.key, None)
+        self.note_job_changed(job)
         self.used_run_numbers.pop(job.plan.key, None)
         if job.begun:
             highest = max(task.number for task in job.tasks.values())
@@ -527,6 +523,7 @@
             for peer in self.available_peers(now):
                 self.place_if_useful(peer)
         self.review_links_if_due(now)
+        self.report_demand_if_due()
         self.report_ready()
         self.report_drained()
 
--- a/hawthorntrack/coordination/run_placement.py
+++ b/hawthorntrack/coordination/run_placement.py
@@ -18,6 +18,7 @@
 )
 from hawthorntrack.coordination.run_tracking import RunTracking
 from hawthorntrack.coordination.scheduling.placement_pass import PlacementPass
+from hawthorntrack.coordination.scheduling.shares import WeightedShares
 from hawthorntrack.coordination.target_selection import TargetCandidate
 from hawthorntrack.coordination.working_set import WorkingSet
 from hawthorntrack.protocol.run_messages import RunOrder, StartRuns, TargetStatus
@@ -38,6 +39,9 @@
         Factor on a task's run time on a target outside the rack of its data.
     send, links, clock, lease_times, working_set
         As for `GuardLinks`.
+    share_room : bool
+        Whether guards share their capacity among the queues of all entry instances, by
+        priority.
 
     Attributes
     ----------
@@ -61,14 +65,16 @@
         clock: Clock,
         lease_times: LeaseTimes,
         working_set: WorkingSet,
+        share_room: bool,
     ) -> None:
         super().__init__(send, links, clock, lease_times, working_set)
+        self.share_room = share_room
         self.zone = zone
         self.far_factor = far_factor
         self.waiting_jobs: dict[str, Job] = {}
         self.least_waiting_cpu_m: float = 0
         self.quarantined: dict[str, frozenset[str]] = {}
-        self.shares = FairShares()
+        self.shares = WeightedShares() if share_room else FairShares()
         self.queue_order = queue_orders[DEFAULT_ORDER]
         self.mean_critical_path_s: dict[str, float] = {}
         self.placement_pending = False
@@ -101,6 +107,20 @@
             if self.jobs.get(key) is job and job.waiting()
         }
 
+    def place_if_due(self, now: float) -> None:
+        """Place waiting tasks once it is useful and the mailbox is empty."""
+        if self.placement_is_due(now):
+            self.placement_pending = False
+            self.place_waiting()
+
+    def placement_is_due(self, now: float) -> bool:
+        """Return whether waiting tasks are to be placed now."""
+        return (
+            self.placement_pending
+            and not self.disconnections_unread
+            and self.mailbox.queue.empty()
+        )
+
     def place_waiting(self) -> None:
         """Place waiting tasks in the order that the current policy gives."""
         self.end_unawaited_jobs(self.waiting_jobs.values())
@@ -202,7 +222,10 @@
         )
 
     def send_orders(
-        self, batches: dict[tuple[str, str], list[RunOrder]], now: float
+        self,
+        batches: dict[tuple[str, str], list[RunOrder]],
+        now: float,
+        offer: int = 0,
     ) -> None:
         """Send the orders of one placement, by job and guard.
 
@@ -210,6 +233,11 @@
         -----------
         An order extends the leases of all runs of this instance at the guard, so the
         unwanted ones are stopped first.
+
+        Parameters
+        ----------
+        offer : int
+            Number of the guard's offer that the runs use; 0 for none.
         """
         for address in dict.fromkeys(address for _, address in batches):
             self.end_unawaited_jobs(self.jobs_at(self.peers[address]))
@@ -220,7 +248,12 @@
             remaining_ms = max(1, round((job.deadline_at - now) * 1000))
             guard_clock_ms = self.peers[address].guard_clock_ms
             message = StartRuns(
-                guard_clock_ms, job.plan.payload, remaining_ms, tuple(orders)
+                guard_clock_ms,
+                job.plan.payload,
+                remaining_ms,
+                tuple(orders),
+                job.queue.name if self.share_room else "",
+                offer,
             )
             self.send(address, message)
 
@@ -312,4 +345,7 @@
         peer.runs[task.name] = task.run
         peer.unreported[task.run] = task.step.need
         work = task.step.need.cpu_m / 1000 * task.step.estimate_s
-        self.shares.charge(job.queue.name, work)
+        if self.share_room:
+            self.shares.charge(job.queue.name, job.queue.priority, work)
+        else:
+            self.shares.charge(job.queue.name, work)
--- a/hawthorntrack/coordination/tests/test_dispatcher.py
+++ b/hawthorntrack/coordination/tests/test_dispatcher.py
@@ -110,7 +110,7 @@
     after the current one, or by `run_passes` while `hold_passes` is set.
     """
 
-    def __init__(self, loop, lease_times=LEASE_TIMES) -> None:
+    def __init__(self, loop, lease_times=LEASE_TIMES, share_room=False) -> None:
         self.time = 1_000.0
         self.loop = loop
         self.links = Mailbox("links")
@@ -131,6 +131,7 @@
             lambda: self.time,
             DRAIN_S,
             lease_times,
+            share_room=share_room,
         )
         self.dispatcher.post_later = self.post_later
 
--- a/hawthorntrack/state/metrics.py
+++ b/hawthorntrack/state/metrics.py
@@ -33,6 +33,15 @@
 GUARD_LINKS = Gauge(
     "hawthorntrack_guard_links", "Guards of an entry instance's working set.", ["state"]
 )
+DEMAND_REPORTS = Counter(
+    "hawthorntrack_demand_reports", "Reports of waiting tasks to guards.", ["kind"]
+)
+OFFERS_ANSWERED = Counter(
+    "hawthorntrack_offers_answered", "Guards' offers of capacity answered.", ["outcome"]
+)
+OFFERED_STARTS = Counter(
+    "hawthorntrack_offered_starts", "Tasks started in capacity that a guard offered."
+)
 CLAIMS = Counter("hawthorntrack_slot_claims", "Slot claims begun.", ["reason"])
 SLOTS = Gauge("hawthorntrack_slots", "Slots by role of this guard.", ["phase"])
 QUEUED = Gauge("hawthorntrack_queued_tasks", "Tasks waiting.", ["where"])
