Offer a guard's free capacity to the waiting tasks of all entry instances

Cause: entry instances learn of free capacity all at once and compete for it; the guard, which owns it, took whatever order came first. Change: OfferBook decides who gets capacity next (weighted queues, longest wait, held capacity, expiry, pauses, expected waits); the lease holder sends OfferRoom, counts offers, and starts other orders only in capacity that is not reserved. With share_room off nothing is sent, and the book stays empty.

--- a/hawthorntrack/coordination/leaseholder.py
+++ b/hawthorntrack/coordination/leaseholder.py
@@ -91,11 +91,6 @@
 
     Attributes
     ----------
-    entry_nonces : dict of str to str
-        Nonce of the current process at the address of each entry instance that is
-        linked or has runs here.
-    linked_entries : set of str
-        Entry instances to which there is a link.
     capacity_subscribers : dict of str to None
         Entry instances where jobs wait; the one that comes first is told first of the
         next change of capacity.
@@ -130,13 +125,10 @@
             share_room,
         )
         self.drained = drained
-        self.entry_nonces: dict[str, str] = {}
-        self.linked_entries: set[str] = set()
         self.capacity_subscribers: dict[str, None] = {}
         self.reported_status = ""
         self.recent_endings: dict[tuple[str, TaskName], tuple[float, RunEnding]] = {}
         self.deferred_orders: dict[TaskName, list[DeferredOrder]] = {}
-        self.zones_out: frozenset[str] = frozenset()
         self.zones_version = 0
         self.sequence = 0
         self.draining = False
@@ -161,6 +153,7 @@
 
     def target_status(self) -> TargetStatus:
         """Return the target's status and capacity under a new sequence number."""
+        self.make_offers()
         self.sequence += 1
         session, now = self.current_session(), self.clock()
         status = self.status(session, now)
@@ -174,14 +167,16 @@
             state.incarnation.id,
             state.labels,
             session.largest_capacity,
-            session.offered,
+            session.offered.minus(self.offers.reserved),
             self.slowness,
             self.sequence,
             session.capacity_is_current,
+            self.offers.waits(now),
         )
 
     def schedule_capacity_report(self) -> None:
         """Schedule a capacity report if an entry instance needs one."""
+        self.room_changed = True
         if not self.report_scheduled and (
             self.capacity_subscribers or self.status_changed()
         ):
@@ -231,6 +226,7 @@
             self.owner_lease_ends.pop(sender.address, None)
             self.stop_owner_runs(sender.address, "owner_restarted")
             self.forget_owner(sender.address)
+            self.forget_demand(sender.address)
         self.entry_nonces[sender.address] = sender.nonce
         self.linked_entries.add(sender.address)
         log_event("entry:linked", entry=str(sender))
@@ -248,6 +244,7 @@
         """Shorten an entry instance's lease to the time it has to reconnect."""
         self.linked_entries.discard(event.address)
         self.capacity_subscribers.pop(event.address, None)
+        self.forget_demand(event.address)
         if event.address in self.owner_lease_ends:
             limit = self.clock() + leases.RECONNECT_GRACE_S
             lease_end = min(self.owner_lease_ends[event.address], limit)
@@ -295,13 +292,18 @@
                 successor = DeferredOrder(run_order.name, sender.address)
                 self.defer_order(successor, *earlier, status)
                 continue
-            reason = self.refusal_reason(run_order, session, status, free)
+            reason = self.refusal_reason(run_order, session, status)
+            if not reason and not self.admits(
+                run_order.need, free, order, sender.address
+            ):
+                reason = "no_room"
             if reason:
                 refused[reason].append(run_order.name)
                 continue
             self.start_run(session, run_order, order, sender.address, now)
             if run_order.name.task in session.runs:
                 free = free.minus(run_order.need)
+                self.charge_start(run_order, order.queue)
                 accepted.append(run_order.name)
         if accepted:
             log_event(
@@ -320,16 +322,16 @@
             self.refuse(sender.address, names, reason)
 
     def refusal_reason(
-        self, order: RunOrder, session: TargetSession | None, status: str, free: Any
+        self, order: RunOrder, session: TargetSession | None, status: str
     ) -> str:
-        """Return why a run is refused; empty if it is accepted."""
+        """Return why a run is refused, apart from its need; empty if it is not."""
         if status != "ready":
             return status
         if session.state.zone in self.zones_out:
             return "zone_out"
         if session.isolated_job not in ("", order.name.task.job):
             return "isolated"
-        return "" if order.need.fits_in(free) else "no_room"
+        return ""
 
     def find_run(self, task: TaskName) -> tuple[TargetSession, Run] | None:
         """Return a task's unfinished run with the session that it belongs to."""
@@ -397,7 +399,8 @@
         task = order.name.task
         number = max(order.name.run, self.run_numbers.get(task, 0) + 1)
         deadline_at = now + batch.remaining_ms / 1000
-        run = Run(order, RunName(task, number), owner, batch.payload, deadline_at, now)
+        name, queue = RunName(task, number), batch.queue
+        run = Run(order, name, owner, batch.payload, deadline_at, now, queue)
         session.runs[task] = run
         self.send_start(session, run)
 
@@ -518,6 +521,7 @@
                     by_owner[owner].append(ending._replace(name=name))
                 else:
                     unstarted[owner].append(name)
+        self.room_changed |= bool(ended_runs)
         for owner, endings in by_owner.items():
             for ending in endings:
                 self.recent_endings[owner, ending.name.task] = (now, ending)
--- a/hawthorntrack/state/metrics.py
+++ b/hawthorntrack/state/metrics.py
@@ -14,6 +14,16 @@
     "hawthorntrack_target_crashes", "Crashes of the target beside a guard."
 )
 NOT_RUN = Counter("hawthorntrack_not_run", "Tasks returned unstarted.", ["reason"])
+OFFERS = Counter(
+    "hawthorntrack_offers", "Offers of capacity that have ended.", ["outcome"]
+)
+DEMAND_REPORTS = Counter(
+    "hawthorntrack_demands_reported", "Reports of waiting tasks received."
+)
+HELD_CPU = Gauge(
+    "hawthorntrack_held_cpu_m",
+    "Processor capacity held for open offers, in millicores.",
+)
 MESSAGES = Counter("hawthorntrack_messages", "Bus messages.", ["direction", "type"])
 MESSAGE_BYTES = Counter("hawthorntrack_message_bytes", "Bus bytes.", ["direction"])
 BAD_INPUT = Counter(
