--- a/hawthorntrack/coordination/scheduling/offers.py
+++ b/hawthorntrack/coordination/scheduling/offers.py
@@ -142,7 +142,7 @@
     Explanation
     -----------
     Tasks of one queue differ in need. A rest in which not even the smallest one fits is
-    offered as well, so that a task that is larger than `unit` may use it.
+    offered as well, up to `unit`, so that a task that is larger than `unit` may use it.
 
     Examples
     --------
@@ -154,8 +154,9 @@
     count, room = 0, NO_RESOURCES
     while count < tasks and room.plus(unit).fits_in(capacity):
         count, room = count + 1, room.plus(unit)
-    rest_is_of_use = smallest.fits_in(capacity.minus(room))
-    return count, room if rest_is_of_use else capacity
+    if not smallest.fits_in(capacity.minus(room)):
+        room = lower(capacity, room.plus(unit))
+    return count, room
 
 
 class OfferBook:
@@ -163,10 +164,11 @@
 
     Explanation
     -----------
-    The queue with the lowest virtual time comes first (`WeightedShares`). Work for
-    which an offer is open counts as started in this order. Within a queue, an entry
-    instance without an open offer comes first, then the one whose oldest job has waited
-    longest. The size of a job does not count.
+    The queue with the lowest virtual time comes first (`WeightedShares`), of equal ones
+    the most urgent. Work for which an offer is open counts as started in this order.
+    Within a queue, the entry instance whose oldest job has waited longest comes first,
+    after those with fewer open offers and before those that let the last one expire.
+    The size of a job does not count.
 
     Parameters
     ----------
@@ -420,12 +422,19 @@
             pending = offered_work[queue] / weight_of(self.priority_of(queue))
             return self.shares.virtual_time_of(queue) + pending
 
-        for queue in sorted(self.demands, key=lambda q: (virtual_time(q), q)):
+        for queue in sorted(
+            self.demands, key=lambda q: (virtual_time(q), self.priority_of(q), q)
+        ):
             yield from (
                 demand
                 for demand in sorted(
                     self.demands[queue].values(),
-                    key=lambda d: (offers[d.entry, queue], d.since, d.entry),
+                    key=lambda d: (
+                        d.entry in self.expiries,
+                        offers[d.entry, queue],
+                        d.since,
+                        d.entry,
+                    ),
                 )
                 if demand.tasks > covered[demand.entry, queue]
                 and (demand.entry, queue) not in self.paused_until
