Keep the order of messages on a link of the simulated site

Cause: two messages that were sent at the same time could arrive in reverse order, because timers that are due at the same time fire in any order. 660 of 3,591 start orders that named an offer then arrived after its CloseOffer and were refused. Change: a timer hands over the message that was sent first on its link, as TCP does. Also renames the entry instance's counter of reports, which the guard's had too.

--- a/hawthorntrack/coordination/room_requests.py
+++ b/hawthorntrack/coordination/room_requests.py
@@ -41,7 +41,7 @@
 from hawthorntrack.state.lease_times import LeaseTimes
 from hawthorntrack.state.mailbox import Mailbox
 from hawthorntrack.state.metrics import (
-    DEMAND_REPORTS,
+    DEMANDS_SENT,
     OFFERED_STARTS,
     OFFERS_ANSWERED,
     WAIT_SECONDS,
@@ -209,7 +209,7 @@
         asked = guards_to_ask(view, self.reports.reports)
         wanted = divide_work({address: view.at(address) for address in asked})
         for address, demands in self.reports.due(wanted, now).items():
-            labelled(DEMAND_REPORTS, "new" if demands else "withdrawn").inc()
+            labelled(DEMANDS_SENT, "new" if demands else "withdrawn").inc()
             self.reports.record(address, demands, now)
             self.send(address, ReportDemand(demands))
         self.log_waits(now)
--- a/hawthorntrack/experiment/model_site.py
+++ b/hawthorntrack/experiment/model_site.py
@@ -7,7 +7,7 @@
 import asyncio
 import itertools
 import random
-from collections import Counter, defaultdict
+from collections import Counter, defaultdict, deque
 from collections.abc import Callable, Coroutine, Sequence
 from typing import Any, NamedTuple
 
@@ -135,12 +135,16 @@
         Pairs of source and destination between which no message is delivered.
     held_messages : list
         Messages sent between such pairs; they are delivered once the cut is healed.
+    in_flight : dict of (Incarnation, str) to deque
+        Messages on their way, by sender and destination, in the order of sending. Two
+        timers that are due at the same time fire in any order, links keep the order.
     """
 
     def __init__(self) -> None:
         self.processes: dict[str, Process] = {}
         self.cut_pairs: set[tuple[str, str]] = set()
         self.held_messages: list[tuple[str, str, Any]] = []
+        self.in_flight: dict[tuple[Incarnation, str], deque] = defaultdict(deque)
 
     def send(self, source: "Process", address: str, body: Any) -> None:
         """Send a message if the link is up."""
@@ -157,7 +161,14 @@
         if peer is None:
             return
         delay_s = SAME_ZONE_DELAY_S if peer.zone == zone else CROSS_ZONE_DELAY_S
-        asyncio.get_running_loop().call_later(delay_s, peer.receive, me, body)
+        in_flight = self.in_flight[me, address]
+        in_flight.append((peer, body))
+        asyncio.get_running_loop().call_later(delay_s, self.arrive, me, in_flight)
+
+    def arrive(self, me: Incarnation, in_flight: deque) -> None:
+        """Hand over the message that was sent first."""
+        peer, body = in_flight.popleft()
+        peer.receive(me, body)
 
     def heal(self) -> None:
         """End all cuts and deliver the messages held."""
--- a/hawthorntrack/state/metrics.py
+++ b/hawthorntrack/state/metrics.py
@@ -43,8 +43,8 @@
 GUARD_LINKS = Gauge(
     "hawthorntrack_guard_links", "Guards of an entry instance's working set.", ["state"]
 )
-DEMAND_REPORTS = Counter(
-    "hawthorntrack_demand_reports", "Reports of waiting tasks to guards.", ["kind"]
+DEMANDS_SENT = Counter(
+    "hawthorntrack_demands_sent", "Reports of waiting tasks sent to guards.", ["kind"]
 )
 OFFERS_ANSWERED = Counter(
     "hawthorntrack_offers_answered", "Guards' offers of capacity answered.", ["outcome"]
