Keep passes without a fitting task cheap, and document offers of capacity

Change: the book compares the free capacity with a lower bound of all needs first, and keeps the time of each instance's report.

--- a/hawthorntrack/coordination/scheduling/offers.py
+++ b/hawthorntrack/coordination/scheduling/offers.py
@@ -7,6 +7,7 @@
 
 from collections import Counter, defaultdict, deque
 from collections.abc import Iterable, Iterator
+from functools import reduce
 from typing import NamedTuple
 
 from hawthorntrack.coordination.scheduling.lookahead import (
@@ -60,7 +61,6 @@
     entry: str
     queue: str
     since: float
-    reported_at: float
     tasks: int
     smallest: Resources
     first: Resources
@@ -180,6 +180,14 @@
     ----------
     demands : dict of str to dict of str to Demand
         By queue and entry instance.
+    reported_at : dict of str to float
+        Time of the newest demand of each entry instance that has any.
+    least_need : Resources or None
+        No task in `demands` needs less of any resource; None without demands. It is
+        computed at intervals and only lowered in between, which keeps the many passes
+        cheap in which nothing fits.
+    least_need_valid_until : float
+        When it is computed again.
     open_offers : dict of int to Offer
         By number, which is also the order of their expiry.
     kept : Resources
@@ -201,6 +209,9 @@
         self.shares = WeightedShares()
         self.priorities: dict[str, int] = {}
         self.demands: dict[str, dict[str, Demand]] = {}
+        self.reported_at: dict[str, float] = {}
+        self.least_need: Resources | None = None
+        self.least_need_valid_until = 0.0
         self.open_offers: dict[int, Offer] = {}
         self.kept = NO_RESOURCES
         self.kept_until = 0.0
@@ -237,14 +248,16 @@
         for demand in demands:
             if not demand.tasks:
                 continue
+            self.reported_at[entry] = now
+            smallest = demand.smallest.to_resources()
+            self.least_need = lower(self.least_need or smallest, smallest)
             self.priorities[demand.queue] = min(demand.priority, LOWEST_PRIORITY)
             self.demands.setdefault(demand.queue, {})[entry] = Demand(
                 entry,
                 demand.queue,
                 now - demand.waited_ms / 1000,
-                now,
                 demand.tasks,
-                demand.smallest.to_resources(),
+                smallest,
                 demand.first.to_resources(),
                 demand.run_ms,
                 demand.shortest_run_ms,
@@ -258,6 +271,8 @@
 
     def remove_demands(self, entry: str) -> None:
         """Remove all demands of an entry instance."""
+        if self.reported_at.pop(entry, None) is None:
+            return
         for by_entry in self.demands.values():
             by_entry.pop(entry, None)
         self.demands = {queue: found for queue, found in self.demands.items() if found}
@@ -326,17 +341,20 @@
         for offer in expired:
             if not offer.taken:
                 self.record_expiry(offer, now)
-        outdated = {
-            demand.entry
-            for by_entry in self.demands.values()
-            for demand in by_entry.values()
-            if now >= demand.reported_at + DEMAND_VALID_S
-        }
+        outdated = [
+            entry
+            for entry, reported_at in self.reported_at.items()
+            if now >= reported_at + DEMAND_VALID_S
+        ]
         for entry in outdated:
             self.replace(entry, (), now)
         self.paused_until = {
             key: until for key, until in self.paused_until.items() if until > now
         }
+        if now >= self.least_need_valid_until:
+            self.least_need_valid_until = now + DEMAND_VALID_S
+            needs = [d.smallest for q in self.demands.values() for d in q.values()]
+            self.least_need = reduce(lower, needs) if needs else None
         if len(self.priorities) > MAX_DEMANDS:
             self.forget_idle_queues()
         if now >= self.kept_until:
@@ -394,7 +412,8 @@
             Ratio of run times on the target to declared ones.
         """
         self.kept = NO_RESOURCES
-        if len(self.open_offers) >= MAX_OPEN_OFFERS:
+        full = len(self.open_offers) >= MAX_OPEN_OFFERS
+        if full or not self.least_need or not self.least_need.fits_in(room.free):
             return None
         plan: BackfillPlan | None = None
         for position, demand in enumerate(self.in_order()):
