Ask before each start while tasks compete, and test the requests for capacity

Change: after a refusal, after a wait of 20 ms, and for 2 s after its start, an instance orders no start without an offer (5 s after the last sign).

--- a/hawthorntrack/coordination/room_requests.py
+++ b/hawthorntrack/coordination/room_requests.py
@@ -59,6 +59,9 @@
 UNCONTENDED_WAIT_S = MIN_REPORT_INTERVAL_S
 # Bursts and their retries come seconds apart. Between them, few tasks wait.
 CONTENTION_LINGER_S = 5.0
+# An instance that has just started does not know the load, and others may have started
+# with it. Guards are linked and known within a second.
+START_ALLOWANCE_S = 2.0
 # Shorter waits happen all the time on busy targets; the metrics count them.
 MIN_LOGGED_WAIT_S = 0.25
 
@@ -116,7 +119,7 @@
         self.reviewed_tasks: dict[str, int] = {}
         self.asking_since: float | None = None
         self.pending_since: float | None = None
-        self.contended_until = 0.0
+        self.contended_until = clock() + START_ALLOWANCE_S
 
     # Changes of what waits
 
@@ -173,13 +176,14 @@
         apart for them, tasks are placed directly.
         """
         now = self.clock()
-        self.update_quarantine(now)
-        if now >= self.contended_until or self.quarantined:
-            super().place_waiting()
-            return
-        self.end_unawaited_jobs(self.waiting_jobs.values())
-        self.prune_waiting_jobs()
-        self.least_waiting_cpu_m = math.inf
+        if self.share_room and now < self.contended_until:
+            self.end_unawaited_jobs(self.waiting_jobs.values())
+            self.prune_waiting_jobs()
+            self.update_quarantine(now)
+            if not self.quarantined:
+                self.least_waiting_cpu_m = math.inf
+                return
+        super().place_waiting()
 
     @handles(RunsRefused)
     def on_runs_refused(self, refused: RunsRefused, sender: Incarnation) -> None:
--- a/hawthorntrack/coordination/tests/test_room_requests.py
+++ b/hawthorntrack/coordination/tests/test_room_requests.py
@@ -34,6 +34,13 @@
 ONE_TASK = (StepSpec(1, NEED, 0.4),)
 
 
+def wait_for_calm(entry):
+    """Let time pass until tasks start without an offer again; GUARD_1 has capacity."""
+    entry.advance(CONTENTION_LINGER_S + 0.1)
+    entry.connect_guard(GUARD_1)
+    entry.sent.clear()
+
+
 @pytest.fixture
 def entry(loop):
     """Return an entry instance that shares capacity, with one guard that is full."""
@@ -209,8 +216,8 @@
 
 def test_after_a_refusal_tasks_ask_before_they_start(entry):
     """Ten entry instances chose the emptiest target: a third of orders was refused."""
-    entry.send_heartbeat(GUARD_1)
-    entry.submit(steps=ONE_TASK)
+    wait_for_calm(entry)
+    reply = entry.submit(steps=ONE_TASK)
     ((_, order),) = entry.take_messages(StartRuns)
     assert (order.queue, order.offer) == ("confirm", 0)
     reports(entry)
@@ -220,8 +227,9 @@
         [],
     )
     assert offer_room(entry)[0] == [("confirm", 7, "a")]
-    entry.advance(CONTENTION_LINGER_S + 0.1)
-    entry.send_heartbeat(GUARD_1)
+    reply.cancel()
+    entry.deliver(CallerDisconnected("a" * 16, reply))
+    wait_for_calm(entry)
     entry.submit("b" * 16, steps=ONE_TASK)
     assert len(entry.take_starts()) == 1
 
@@ -235,6 +243,7 @@
     entry = DispatcherHarness(loop, share_room=share_room)
     entry.set_directives()
     entry.connect_guard(GUARD_1)
+    wait_for_calm(entry)
     entry.dispatcher.mailbox.put(Tick())
     entry.submit()
     entry.time += 1.01 * MAX_PLACEMENT_DELAY_S
