Size offers by the share of their queue

Cause: when capacity becomes free at once, the queue whose turn it is got four tasks, also a less urgent one of long tasks beside an urgent one with more demand. Change: an offer ends with the task by which the next queue has the lower virtual time.

--- a/hawthorntrack/coordination/scheduling/offers.py
+++ b/hawthorntrack/coordination/scheduling/offers.py
@@ -416,16 +416,22 @@
         if full or not self.least_need or not self.least_need.fits_in(room.free):
             return None
         plan: BackfillPlan | None = None
-        for position, demand in enumerate(self.in_order()):
+        for position, (demand, share_work) in enumerate(self.in_order()):
             if not position:
                 plan = self.plan_for(demand, room, now)
             for bounds in self.bounds_for(demand, plan, room.free, now, slowness):
                 if demand.smallest.fits_in(bounds.capacity):
-                    return self.open_offer(demand, bounds, now)
+                    return self.open_offer(demand, share_work, bounds, now)
         return None
 
-    def in_order(self) -> Iterator[Demand]:
-        """Yield the demands that may get an offer, the first in the order first."""
+    def in_order(self) -> Iterator[tuple[Demand, float]]:
+        """Yield the demands that may get an offer, the first in the order first.
+
+        Explanation
+        -----------
+        Each comes with the work, in core-seconds, after which the next queue has the
+        lower virtual time.
+        """
         offers: Counter[tuple[str, str]] = Counter()
         covered: Counter[tuple[str, str]] = Counter()
         offered_work: Counter[str] = Counter()
@@ -441,11 +447,14 @@
             pending = offered_work[queue] / weight_of(self.priority_of(queue))
             return self.shares.virtual_time_of(queue) + pending
 
-        for queue in sorted(
-            self.demands, key=lambda q: (virtual_time(q), self.priority_of(q), q)
-        ):
+        ordered = sorted(
+            (virtual_time(q), self.priority_of(q), q) for q in self.demands
+        )
+        following = [at for at, _, _ in ordered[1:]] + [float("inf")]
+        for (at, priority, queue), next_at in zip(ordered, following, strict=True):
+            share_work = (next_at - at) * weight_of(priority)
             yield from (
-                demand
+                (demand, share_work)
                 for demand in sorted(
                     self.demands[queue].values(),
                     key=lambda d: (
@@ -502,8 +511,16 @@
         if 0 < max_run_ms >= demand.shortest_run_ms:
             yield Bounds(free, max_run_ms, plan.at)
 
-    def open_offer(self, demand: Demand, bounds: Bounds, now: float) -> Offer:
-        """Open an offer to a demand within bounds in which its smallest task fits."""
+    def open_offer(
+        self, demand: Demand, share_work: float, bounds: Bounds, now: float
+    ) -> Offer:
+        """Open an offer to a demand within bounds in which its smallest task fits.
+
+        Explanation
+        -----------
+        It ends with the task by which the queue uses up `share_work`. Otherwise a less
+        urgent queue would get several long tasks as soon as its turn comes.
+        """
         covered = sum(
             offer.tasks
             for offer in self.open_offers.values()
@@ -513,12 +530,11 @@
             not bounds.max_run_ms or demand.run_ms <= bounds.max_run_ms
         )
         unit = demand.first if first_fits else demand.smallest
-        tasks, room = sized(
-            unit,
-            demand.smallest,
-            min(MAX_OFFERED_TASKS, demand.tasks - covered),
-            bounds.capacity,
-        )
+        task_work = unit.cpu_m / 1000 * demand.run_ms / 1000
+        limit = min(MAX_OFFERED_TASKS, demand.tasks - covered)
+        if share_work < limit * task_work:
+            limit = min(limit, 1 + int(share_work / task_work))
+        tasks, room = sized(unit, demand.smallest, limit, bounds.capacity)
         offer = Offer(
             self.next_number,
             demand.entry,
@@ -528,7 +544,7 @@
             bounds.max_run_ms,
             now + OFFER_VALID_S,
             tasks,
-            unit.cpu_m / 1000 * demand.run_ms / 1000,
+            task_work,
             bounds.ends_by,
         )
         self.next_number += 1
