Leave it to the book of offers when capacity was first kept free

Cause: the book of offers records this by entry instance and queue, and limits run times in offers itself. Change: remove the same rules from the look-ahead module.

--- a/hawthorntrack/coordination/scheduling/lookahead.py
+++ b/hawthorntrack/coordination/scheduling/lookahead.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from hawthorntrack.state.resources import NO_RESOURCES, Resources
+from hawthorntrack.state.resources import Resources
 
 # A status reports the capacity expected to be free within each of these times. The
 # longest one covers most of a quick or small task's run; each is twice the one before,
@@ -62,35 +62,6 @@
     spare: Resources
 
 
-class BackfillRoom(NamedTuple):
-    """Capacity that tasks other than the first one may use now.
-
-    Attributes
-    ----------
-    max_run_ms : int
-        Longest declared run time of a task in it, in milliseconds; 0 for no limit.
-    """
-
-    room: Resources
-    max_run_ms: int = 0
-
-
-class KeptFree(NamedTuple):
-    """The demand that capacity was first kept free for, and since when.
-
-    Attributes
-    ----------
-    entry, queue : str
-        The entry instance whose demand comes first in the order, and the queue.
-    since : float
-        Time at which capacity was first kept free for it, in seconds.
-    """
-
-    entry: str
-    queue: str
-    since: float
-
-
 def free_at(room: RoomView, at: float) -> Resources:
     """Return the capacity that is free at a time if nothing is started until then."""
     free = room.free
@@ -110,12 +81,14 @@
     >>> earliest_fit(room, need, 10.0)
     10.5
     """
-    if need.fits_in(room.free):
+    free = room.free
+    if need.fits_in(free):
         return now
-    times = sorted({end.at for end in room.ends})
-    fitting = (at for at in times if need.fits_in(free_at(room, at)))
-    at = next(fitting, None)
-    return None if at is None else max(now, at)
+    for end in sorted(room.ends, key=lambda end: end.at):
+        free = free.plus(end.need)
+        if need.fits_in(free):
+            return max(now, end.at)
+    return None
 
 
 def free_within(
@@ -129,20 +102,13 @@
     >>> free_within(room, LOOK_AHEAD_HORIZONS_S, 10.0)
     (1000, 4600, 4600, 4600)
     """
+    ends = [(end.at, end.need.cpu_m) for end in room.ends]
     return tuple(
-        max(0, free_at(room, now + horizon_s).cpu_m) for horizon_s in horizons_s
+        max(0, room.free.cpu_m + sum(cpu_m for at, cpu_m in ends if at <= limit))
+        for limit in (now + horizon_s for horizon_s in horizons_s)
     )
 
 
-def keep_free_for(
-    kept: KeptFree | None, entry: str, queue: str, now: float
-) -> KeptFree:
-    """Return since when capacity is kept free for the demand that comes first now."""
-    if kept is not None and (kept.entry, kept.queue) == (entry, queue):
-        return kept
-    return KeptFree(entry, queue, now)
-
-
 def backfill_plan(
     first: Resources, room: RoomView, now: float, kept_since: float | None = None
 ) -> BackfillPlan | None:
@@ -172,37 +138,6 @@
     return BackfillPlan(at, free_at(room, at).minus(first))
 
 
-def backfill_room(
-    plan: BackfillPlan,
-    free: Resources,
-    smallest: Resources,
-    run_time_factor: float,
-    now: float,
-) -> BackfillRoom | None:
-    """Return the capacity that a task other than the first may use; None for none.
-
-    Parameters
-    ----------
-    plan : BackfillPlan
-        The reservation for the first task.
-    free : Resources
-        Capacity that is free now.
-    smallest : Resources
-        Smallest need among the other tasks.
-    run_time_factor : float
-        Upper side of the run time on this target, over the declared run time.
-    now : float
-        Current time in seconds.
-    """
-    beside = Resources(*map(min, free, plan.spare)).largest(NO_RESOURCES)
-    if smallest.fits_in(beside):
-        return BackfillRoom(beside)
-    limit_ms = backfill_limit_ms(plan, run_time_factor, now)
-    if limit_ms and smallest.fits_in(free):
-        return BackfillRoom(free, limit_ms)
-    return None
-
-
 def backfill_limit_ms(plan: BackfillPlan, run_time_factor: float, now: float) -> int:
     """Return the longest declared run time that ends before the first task starts.
 
--- a/hawthorntrack/coordination/scheduling/tests/test_lookahead.py
+++ b/hawthorntrack/coordination/scheduling/tests/test_lookahead.py
@@ -13,9 +13,8 @@
 from hawthorntrack.coordination.scheduling.lookahead import (
     ExpectedEnd,
     RoomView,
+    backfill_limit_ms,
     backfill_plan,
-    backfill_room,
-    keep_free_for,
 )
 from hawthorntrack.state.resources import Resources
 
@@ -34,7 +33,7 @@
     which comes first in the order.
     """
     rng, ratios = random.Random(seed), RunTimeRatios()
-    runs, waits, idle, large_since, kept, now = [], [], 0.0, None, None, 0.0
+    runs, waits, idle, now, large_since, kept_since = [], [], 0.0, 0.0, None, None
     small = Resources(3_600)
     while now < SECONDS:
         for started, end, _need in runs:
@@ -49,7 +48,8 @@
         starts = []
         if large_since is not None and LARGE.fits_in(free):
             waits.append(now - large_since)
-            starts, large_since, free = [LARGE], None, free.minus(LARGE)
+            starts, free = [LARGE], free.minus(LARGE)
+            large_since = kept_since = None
         while small.fits_in(free):
             if large_since is not None and looks_ahead:
                 ends = tuple(
@@ -58,11 +58,14 @@
                     )
                     for at, _, need in runs
                 )
-                kept = keep_free_for(kept, "a:1", f"{large_since}", now)
-                plan = backfill_plan(LARGE, RoomView(free, ends), now, kept.since)
+                view = RoomView(free, ends)
+                plan = backfill_plan(LARGE, view, now, kept_since)
+                kept_since = now if plan and kept_since is None else kept_since
                 factor = run_time_factor(1.0, ratio)
-                room = plan and backfill_room(plan, free, small, factor, now)
-                if plan and (room is None or room.max_run_ms < DECLARED_S * 1_000):
+                if plan and not (
+                    small.fits_in(plan.spare)
+                    or backfill_limit_ms(plan, factor, now) >= DECLARED_S * 1_000
+                ):
                     break
             starts.append(small)
             free = free.minus(small)
@@ -104,14 +107,3 @@
     assert (plan is not None) == planned
     if plan is not None:
         assert (plan.at, plan.spare.cpu_m) == (now + ends_in_s[-1], 800)
-
-
-@pytest.mark.parametrize(
-    ("smallest", "room"), [(700, (800, 0)), (900, (2_000, 40)), (2_100, None)]
-)
-def test_others_get_what_delays_the_first_task_least(smallest, room):
-    """Capacity beside the reservation is open without a limit on the run time."""
-    view = RoomView(Resources(2_000), (ExpectedEnd(10.06, Resources(6_000)),))
-    plan = backfill_plan(LARGE, view, 10.0)
-    others = backfill_room(plan, view.free, Resources(smallest), 1.5, 10.0)
-    assert (others and (others.room.cpu_m, others.max_run_ms)) == room
