Place with look-ahead, and report the capacity expected to be free soon

Cause: the look-ahead over values was not used by any actor. Change: base classes of the lease holder (expected ends, learned ratios) and of the dispatcher (waits for a better target, speeds by kind), if share_room.

--- a/hawthorntrack/coordination/dispatcher.py
+++ b/hawthorntrack/coordination/dispatcher.py
@@ -506,6 +506,7 @@
         """End expired jobs, and reschedule the runs of silent guards."""
         now = self.sockets_read_at = self.clock()
         self.end_unawaited_jobs(self.jobs.values())
+        self.place_if_awaiting()
         for job in list(self.jobs.values()):
             if not job.begun and job.placement_deadline_at <= now:
                 self.end_job(job, self.overload_refusal(job))
--- a/hawthorntrack/coordination/leaseholder.py
+++ b/hawthorntrack/coordination/leaseholder.py
@@ -43,6 +43,7 @@
 from hawthorntrack.state.metrics import NOT_RUN, labelled
 from hawthorntrack.state.naming import exposed_name
 from hawthorntrack.state.plans import RunName, TaskName
+from hawthorntrack.state.resources import NO_RESOURCES
 from hawthorntrack.state.values import Incarnation
 
 # Each change of capacity is reported to this many of the entry instances that wait for
@@ -178,6 +179,8 @@
             self.slowness,
             self.sequence,
             session.capacity_is_current,
+            (),
+            self.free_soon_cpu_m(session, NO_RESOURCES, now) if self.share_room else (),
         )
 
     def schedule_capacity_report(self) -> None:
--- a/hawthorntrack/coordination/room_offering.py
+++ b/hawthorntrack/coordination/room_offering.py
@@ -3,19 +3,19 @@
 from collections.abc import Callable
 from typing import Any
 
-from hawthorntrack.coordination.run_controller import RunController
+from hawthorntrack.coordination.run_estimates import RunEstimates
 from hawthorntrack.state.clock import Clock
 from hawthorntrack.state.lease_times import LeaseTimes
 from hawthorntrack.state.mailbox import Mailbox
 
 
-class RoomOffering(RunController):
+class RoomOffering(RunEstimates):
     """Offers the target's free capacity to entry instances whose tasks wait.
 
     Parameters
     ----------
     calls, target_record, clock, first_token, lease_times, awake_clock
-        As for `RunController`.
+        As for `RunEstimates`.
     send : callable
         Sends a message to a peer; called with the peer's address and the message.
     share_room : bool
--- a/hawthorntrack/coordination/room_requests.py
+++ b/hawthorntrack/coordination/room_requests.py
@@ -3,20 +3,20 @@
 from collections.abc import Callable
 from typing import Any
 
-from hawthorntrack.coordination.run_placement import RunPlacement
+from hawthorntrack.coordination.look_ahead_placement import LookAheadPlacement
 from hawthorntrack.coordination.working_set import WorkingSet
 from hawthorntrack.state.clock import Clock
 from hawthorntrack.state.lease_times import LeaseTimes
 from hawthorntrack.state.mailbox import Mailbox
 
 
-class RoomRequests(RunPlacement):
+class RoomRequests(LookAheadPlacement):
     """Reports waiting tasks to guards, and uses the capacity that they offer.
 
     Parameters
     ----------
     zone, far_factor, send, links, clock, lease_times, working_set
-        As for `RunPlacement`.
+        As for `LookAheadPlacement`.
     share_room : bool
         Whether guards offer capacity.
     """
@@ -32,5 +32,6 @@
         working_set: WorkingSet,
         share_room: bool,
     ) -> None:
-        super().__init__(zone, far_factor, send, links, clock, lease_times, working_set)
-        self.share_room = share_room
+        super().__init__(
+            zone, far_factor, send, links, clock, lease_times, working_set, share_room
+        )
--- a/hawthorntrack/coordination/run_placement.py
+++ b/hawthorntrack/coordination/run_placement.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from hawthorntrack.coordination.guard_peer import GuardPeer
@@ -18,7 +18,7 @@
 )
 from hawthorntrack.coordination.run_tracking import RunTracking
 from hawthorntrack.coordination.scheduling.placement_pass import PlacementPass
-from hawthorntrack.coordination.target_selection import TargetCandidate
+from hawthorntrack.coordination.target_selection import LookAhead, TargetCandidate
 from hawthorntrack.coordination.working_set import WorkingSet
 from hawthorntrack.protocol.run_messages import RunOrder, StartRuns, TargetStatus
 from hawthorntrack.state.clock import Clock
@@ -73,6 +73,22 @@
         self.mean_critical_path_s: dict[str, float] = {}
         self.placement_pending = False
 
+    def new_pass(self, candidates: Iterable[TargetCandidate]) -> PlacementPass:
+        """Return a placement pass over targets."""
+        return PlacementPass(candidates, self.zone, self.far_factor)
+
+    def placement_order(self, tasks: list[Task]) -> list[Task]:
+        """Return tasks of one job in the order in which they are placed."""
+        return tasks
+
+    def look_ahead(self, job: Job, task: Task, now: float) -> LookAhead | None:
+        """Return how long a task may wait for a better target than the free ones."""
+        return None
+
+    def note_awaited_target(self, job: Job, task: Task) -> None:
+        """Record that a task waits although a target has room for it."""
+        raise NotImplementedError
+
     def queue_job(self, job: Job) -> None:
         """Add a job with waiting tasks to those that are placed next."""
         self.waiting_jobs[job.plan.key] = job
@@ -118,7 +134,7 @@
         if not candidates:
             self.request_capacity_updates(bool(queues))
             return
-        placement = PlacementPass(candidates, self.zone, self.far_factor)
+        placement = self.new_pass(candidates)
         self.shares.advance_virtual_time(queues)
         for jobs in queues.values():
             jobs.sort(key=lambda job: self.queue_order.key(self.waiting_job(job)))
@@ -247,12 +263,15 @@
         set_apart = self.set_apart(job.queue.service)
         self.place_suspects(job, suspects, placement)
         max_slowness = self.max_slowness(job, placement.median_slowness, now)
-        for task in unsuspected:
-            candidate = placement.choose(
-                task.step, job.queue.service, set_apart, task.avoid, max_slowness
-            )
+        for task in self.placement_order(unsuspected):
+            wanted = task.step, job.queue.service, set_apart, task.avoid, max_slowness
+            look_ahead = self.look_ahead(job, task, now)
+            candidate = placement.choose(*wanted, look_ahead)
             if candidate is None:
-                return False
+                if look_ahead is None or placement.choose(*wanted) is None:
+                    return False
+                self.note_awaited_target(job, task)
+                return True
             self.place_task(job, task, candidate, placement)
         labelled(WAIT_SECONDS, job.queue.name).observe(now - job.arrived)
         return True
--- a/hawthorntrack/coordination/scheduling/placement_pass.py
+++ b/hawthorntrack/coordination/scheduling/placement_pass.py
@@ -5,7 +5,12 @@
 from collections.abc import Collection, Iterable
 from statistics import median
 
+from hawthorntrack.coordination.scheduling.speeds import (
+    NOMINAL_SLOWNESS,
+    KindSpeeds,
+)
 from hawthorntrack.coordination.target_selection import (
+    LookAhead,
     TargetCandidate,
     assume_slowness,
     choose_target,
@@ -14,9 +19,6 @@
 from hawthorntrack.state.plans import StepSpec
 from hawthorntrack.state.resources import NO_RESOURCES
 
-# Slowness of all targets as long as none has been measured.
-NOMINAL_SLOWNESS = 1.0
-
 
 class PlacementPass:
     """Targets that accept runs, less what the orders of this pass take.
@@ -29,12 +31,14 @@
         Zone of the entry instance.
     far_factor : float
         Factor on a task's run time on a target outside the rack of its data.
+    speeds : KindSpeeds, optional
+        Slowness by kind of target; without it, targets that are not measured yet count
+        as fast as the fastest.
 
     Attributes
     ----------
     candidates : dict of str to TargetCandidate
-        The targets by the address of their guard; those not measured yet count as fast
-        as the fastest.
+        The targets by the address of their guard.
     median_slowness : float
         Median slowness of the measured targets.
     batches : dict of (str, str) to list of RunOrder
@@ -42,7 +46,11 @@
     """
 
     def __init__(
-        self, candidates: Iterable[TargetCandidate], zone: str, far_factor: float
+        self,
+        candidates: Iterable[TargetCandidate],
+        zone: str,
+        far_factor: float,
+        speeds: KindSpeeds | None = None,
     ) -> None:
         reported = list(candidates)
         measured = [
@@ -53,8 +61,14 @@
         self.zone = zone
         self.far_factor = far_factor
         self.median_slowness = median(measured)
+        if speeds is not None:
+            speeds.update(candidate.target_status for candidate in reported)
         self.candidates = {
             candidate.address: assume_slowness(candidate, min(measured))
+            if speeds is None
+            else candidate._replace(
+                target_status=speeds.assume(candidate.target_status)
+            )
             for candidate in reported
         }
         self.batches: dict[tuple[str, str], list[RunOrder]] = defaultdict(list)
@@ -66,8 +80,9 @@
         excluded: Collection[str],
         avoid: frozenset[str],
         max_slowness: float,
+        look_ahead: LookAhead | None = None,
     ) -> TargetCandidate | None:
-        """Return the target for a task of a step, or None if none has room.
+        """Return the target for a task of a step, or None if none should be used now.
 
         Parameters
         ----------
@@ -75,7 +90,7 @@
             Service of the job's queue.
         excluded : collection of str
             Guards whose targets are set apart.
-        avoid, max_slowness
+        avoid, max_slowness, look_ahead
             As for `choose_target`.
         """
         return choose_target(
@@ -90,6 +105,7 @@
             self.far_factor,
             avoid,
             max_slowness,
+            look_ahead,
         )
 
     def choose_apart(
--- a/hawthorntrack/coordination/target_session.py
+++ b/hawthorntrack/coordination/target_session.py
@@ -58,6 +58,8 @@
         When its stop was first sent; infinity before that.
     was_seen_running : bool
         Whether the target has confirmed its start, or listed it as running.
+    queue : str
+        Queue of its job; empty if the order did not name one.
     """
 
     __slots__ = (
@@ -70,6 +72,7 @@
         "payload",
         "percent",
         "phase",
+        "queue",
         "started_at",
         "stop_reason",
         "stopping_since",
@@ -85,6 +88,7 @@
         payload: str,
         deadline_at: float,
         now: float,
+        queue: str = "",
     ) -> None:
         self.order = order
         self.name = name
@@ -100,6 +104,7 @@
         self.stop_reason = ""
         self.stopping_since = math.inf
         self.was_seen_running = False
+        self.queue = queue
 
 
 class TargetSession:
--- a/hawthorntrack/state/metrics.py
+++ b/hawthorntrack/state/metrics.py
@@ -14,6 +14,11 @@
     "hawthorntrack_target_crashes", "Crashes of the target beside a guard."
 )
 NOT_RUN = Counter("hawthorntrack_not_run", "Tasks returned unstarted.", ["reason"])
+AWAITED_TARGETS = Counter(
+    "hawthorntrack_awaited_targets",
+    "Tasks that waited for a faster target although another had room.",
+    ["queue"],
+)
 MESSAGES = Counter("hawthorntrack_messages", "Bus messages.", ["direction", "type"])
 MESSAGE_BYTES = Counter("hawthorntrack_message_bytes", "Bus bytes.", ["direction"])
 BAD_INPUT = Counter(
