--- a/hawthorntrack/coordination/run_estimates.py
+++ b/hawthorntrack/coordination/run_estimates.py
@@ -9,14 +9,8 @@
     RunProgress,
     RunTimeRatios,
     expected_end,
-    run_time_factor,
-)
-from hawthorntrack.coordination.scheduling.lookahead import (
-    LOOK_AHEAD_HORIZONS_S,
-    ExpectedEnd,
-    RoomView,
-    free_within,
 )
+from hawthorntrack.coordination.scheduling.lookahead import ExpectedEnd, RoomView
 from hawthorntrack.coordination.target_session import STOPPING, Run, TargetSession
 from hawthorntrack.state.clock import Clock
 from hawthorntrack.state.lease_times import LeaseTimes
@@ -87,13 +81,6 @@
                 at = expected_end(progress, self.slowness, ratio, now)
             yield ExpectedEnd(at, run.order.need)
 
-    def free_soon_cpu_m(
-        self, session: TargetSession, reserved: Resources, now: float
-    ) -> tuple[int, ...]:
-        """Return the capacity that is expected to be free within each horizon."""
-        view = self.room_view(session, reserved, now)
-        return free_within(view, LOOK_AHEAD_HORIZONS_S, now)
-
-    def run_time_factor(self, queue: str) -> float:
-        """Return the upper side of a run time on the target over the declared one."""
-        return run_time_factor(self.slowness, self.ratios.of(queue))
+    def upper_ratio(self, queue: str) -> float:
+        """Return the upper side of the ratio that was learned for a queue."""
+        return self.ratios.of(queue).upper
--- a/hawthorntrack/coordination/scheduling/lookahead.py
+++ b/hawthorntrack/coordination/scheduling/lookahead.py
@@ -15,7 +15,7 @@
 LOOK_AHEAD_HORIZONS_S = (0.05, 0.1, 0.2, 0.4)
 # Capacity is kept free for one task for at most this long, which is less than the run
 # time of a quick task (0.12 s): keeping it longer costs more than a task that fits.
-MAX_KEPT_FREE_S = 0.1
+MAX_KEPT_S = 0.1
 
 
 class ExpectedEnd(NamedTuple):
@@ -117,7 +117,7 @@
     Explanation
     -----------
     Only the first task in the order gets a reservation (EASY backfill). There is none
-    if the task is expected to fit only later than `MAX_KEPT_FREE_S` after `kept_since`:
+    if the task is expected to fit only later than `MAX_KEPT_S` after `kept_since`:
     expected ends that slip must not keep capacity free for ever.
 
     Parameters
@@ -132,7 +132,7 @@
         Time at which capacity was first kept free for this demand; now by default.
     """
     at = earliest_fit(room, first, now)
-    limit = MAX_KEPT_FREE_S + (now if kept_since is None else min(now, kept_since))
+    limit = MAX_KEPT_S + (now if kept_since is None else min(now, kept_since))
     if at is None or at <= now or at > limit:
         return None
     return BackfillPlan(at, free_at(room, at).minus(first))
--- a/hawthorntrack/state/metrics.py
+++ b/hawthorntrack/state/metrics.py
@@ -14,11 +14,30 @@
     "hawthorntrack_target_crashes", "Crashes of the target beside a guard."
 )
 NOT_RUN = Counter("hawthorntrack_not_run", "Tasks returned unstarted.", ["reason"])
+ROOM_KEPT_SECONDS = Counter(
+    "hawthorntrack_room_kept_seconds",
+    "Time for which free capacity was kept for a task that does not fit yet.",
+)
+BACKFILL_PLANS = Counter(
+    "hawthorntrack_backfill_plans",
+    "Plans to keep capacity for a task that does not fit yet.",
+    ["outcome"],
+)
 AWAITED_TARGETS = Counter(
     "hawthorntrack_awaited_targets",
     "Tasks that waited for a faster target although another had room.",
     ["queue"],
 )
+OFFERS = Counter(
+    "hawthorntrack_offers", "Offers of capacity that have ended.", ["outcome"]
+)
+DEMAND_REPORTS = Counter(
+    "hawthorntrack_demands_reported", "Reports of waiting tasks received."
+)
+HELD_CPU = Gauge(
+    "hawthorntrack_held_cpu_m",
+    "Processor capacity held for open offers, in millicores.",
+)
 MESSAGES = Counter("hawthorntrack_messages", "Bus messages.", ["direction", "type"])
 MESSAGE_BYTES = Counter("hawthorntrack_message_bytes", "Bus bytes.", ["direction"])
 BAD_INPUT = Counter(
