--- a/hawthorntrack/coordination/look_ahead_placement.py
+++ b/hawthorntrack/coordination/look_ahead_placement.py
@@ -28,13 +28,15 @@
 class LookAheadPlacement(RunPlacement):
     """Places tasks with regard to the capacity that is expected to be free soon.
 
+    Explanation
+    -----------
+    Without `share_room` guards do not report that capacity, and it adds nothing to
+    `RunPlacement`.
+
     Parameters
     ----------
-    zone, far_factor, send, links, clock, lease_times, working_set
+    zone, far_factor, send, links, clock, lease_times, working_set, share_room
         As for `RunPlacement`.
-    share_room : bool
-        Whether guards report the capacity that they expect to be free soon. Without
-        it, tasks are placed as by `RunPlacement`.
 
     Attributes
     ----------
@@ -55,8 +57,9 @@
         working_set: WorkingSet,
         share_room: bool,
     ) -> None:
-        super().__init__(zone, far_factor, send, links, clock, lease_times, working_set)
-        self.share_room = share_room
+        super().__init__(
+            zone, far_factor, send, links, clock, lease_times, working_set, share_room
+        )
         self.speeds = KindSpeeds()
         self.awaiting: set[TaskName] = set()
         self.awaited_before: set[TaskName] = set()
