Report demand only for targets that the waiting tasks should use

Cause: long tasks that wait used the first capacity offered to them, also on targets on which they end after their objective. Change: demand and the use of offers leave out targets on which a task is not in time while a target on which it is has a short enough reported wait.

--- a/hawthorntrack/coordination/room_requests.py
+++ b/hawthorntrack/coordination/room_requests.py
@@ -21,6 +21,7 @@
     tasks_that_fit,
     without_vain_exclusions,
 )
+from hawthorntrack.coordination.scheduling.outlook import NO_OUTLOOK
 from hawthorntrack.coordination.scheduling.placement_pass import (
     NOMINAL_SLOWNESS,
     PlacementPass,
@@ -80,6 +81,8 @@
         Median slowness of the targets that accept runs, at the last review of demand.
     guards : dict of str to set of str
         The guards of these targets, by service.
+    outlook : TargetOutlook
+        Expected waits for these targets, by their speed.
     asking_since : float or None
         Time at which this instance began to report demand; None if none is reported.
     """
@@ -102,6 +105,7 @@
         self.changed_jobs: set[str] = set()
         self.reports = DemandReports()
         self.median_slowness = NOMINAL_SLOWNESS
+        self.outlook = NO_OUTLOOK
         self.guards: dict[str, set[str]] = {}
         self.reviewed_at = 0.0
         self.reviewed_tasks: dict[str, int] = {}
@@ -227,6 +231,7 @@
         jobs = self.backlog.jobs.values()
         view = DemandView(jobs, candidates, placement.median_slowness, now)
         self.median_slowness, self.guards = view.median_slowness, view.guards
+        self.outlook = view.outlook
         return view
 
     def log_waits(self, now: float) -> None:
@@ -283,7 +288,7 @@
             or peer.address in self.set_apart(status.service)
         ):
             return None
-        return peer.to_candidate()
+        return peer.to_candidate()._replace(target_status=self.speeds.assume(status))
 
     def remaining_demand(self, peer: GuardPeer, now: float) -> tuple[QueueDemand, ...]:
         """Return the demand at a guard after an offer of it was used."""
@@ -292,7 +297,7 @@
         if candidate is None:
             return ()
         jobs = map(self.with_allowed_guards, self.backlog.jobs.values())
-        demands = demands_for(jobs, candidate, self.median_slowness, now)
+        demands = demands_for(jobs, candidate, self.median_slowness, now, self.outlook)
         guards = max(1, len(self.reports.reports))
         return tuple(
             demand._replace(work_ms=round(demand.work_ms / guards))
@@ -350,7 +355,11 @@
             if free.cpu_m < least_cpu_m:
                 return
             groups = startable(
-                [self.with_allowed_guards(demand)], candidate, self.median_slowness, now
+                [self.with_allowed_guards(demand)],
+                candidate,
+                self.median_slowness,
+                now,
+                self.outlook,
             )
             if not any(group.step.need.fits_in(free) for _, group in groups):
                 continue
--- a/hawthorntrack/coordination/scheduling/demand.py
+++ b/hawthorntrack/coordination/scheduling/demand.py
@@ -6,6 +6,7 @@
 offers its free capacity to one of them.
 """
 
+import math
 from collections import Counter, defaultdict
 from collections.abc import Collection, Iterable, Mapping, Sequence
 from operator import attrgetter
@@ -13,7 +14,17 @@
 
 from hawthorntrack.coordination.job_progress import PLACED, Job, Task
 from hawthorntrack.coordination.queueing import slowness_limit
-from hawthorntrack.coordination.target_selection import TargetCandidate, is_feasible
+from hawthorntrack.coordination.scheduling.outlook import (
+    NO_OUTLOOK,
+    TargetOutlook,
+    speed_class,
+)
+from hawthorntrack.coordination.target_selection import (
+    TargetCandidate,
+    is_feasible,
+    look_ahead_for,
+    paths_after_s,
+)
 from hawthorntrack.protocol.run_messages import (
     MAX_DEMANDS,
     MAX_QUEUE_NAME_LENGTH,
@@ -50,11 +61,14 @@
     excluded : frozenset of str
         Guards that must not get them now: where they failed, or where the step's limit
         per target is reached.
+    path_after_s : float
+        Declared run time along the longest chain of steps after the step, in seconds.
     """
 
     step: StepSpec
     count: int
     excluded: frozenset[str]
+    path_after_s: float = 0.0
 
 
 class JobDemand(NamedTuple):
@@ -69,6 +83,8 @@
         begun. It avoids slow targets during the first part of this time.
     groups : tuple of TaskGroup
         Its waiting tasks, without those that must run in isolation.
+    answer_by : float
+        End of its objective, in seconds.
     """
 
     job: str
@@ -79,11 +95,27 @@
     arrived: float
     max_wait_s: float
     groups: tuple[TaskGroup, ...]
+    answer_by: float = math.inf
 
     def max_slowness(self, median_slowness: float, now: float) -> float:
         """Return the slowness up to which a target may get one of the tasks now."""
         return slowness_limit(median_slowness, now - self.arrived, self.max_wait_s)
 
+    def should_use(
+        self, slowness: float, group: TaskGroup, outlook: TargetOutlook, now: float
+    ) -> bool:
+        """Return whether tasks should use a target rather than wait for another."""
+        look_ahead = look_ahead_for(
+            self.queue,
+            not self.max_wait_s,
+            self.arrived + self.max_wait_s - now,
+            self.answer_by - now,
+            group.path_after_s,
+        )
+        return outlook.is_worth_using(
+            self.service, slowness, group.step.estimate_s, look_ahead
+        )
+
 
 def full_targets(job: Job, tasks: Iterable[Task]) -> dict[int, frozenset[str]]:
     """Return, for the steps of waiting tasks, the guards that have their limit."""
@@ -110,8 +142,13 @@
 def job_demand(job: Job, tasks: Sequence[Task], rank: tuple) -> JobDemand:
     """Return what waits of a job, given its tasks that may be placed as usual."""
     full = full_targets(job, tasks)
+    after_s = paths_after_s(job.plan.steps)
     groups = Counter(
-        (task.step, task.avoid | full.get(task.name.step, frozenset()))
+        (
+            task.step,
+            task.avoid | full.get(task.name.step, frozenset()),
+            after_s[task.name.step],
+        )
         for task in tasks
     )
     return JobDemand(
@@ -123,9 +160,10 @@
         job.arrived,
         0.0 if job.begun else job.placement_deadline_at - job.arrived,
         tuple(
-            TaskGroup(step, count, excluded)
-            for (step, excluded), count in groups.items()
+            TaskGroup(step, count, excluded, path_after_s)
+            for (step, excluded, path_after_s), count in groups.items()
         ),
+        job.arrived + job.objective,
     )
 
 
@@ -193,8 +231,9 @@
     candidate: TargetCandidate,
     median_slowness: float,
     now: float,
+    outlook: TargetOutlook = NO_OUTLOOK,
 ) -> list[tuple[JobDemand, TaskGroup]]:
-    """Return the waiting tasks that could start at a target once it has room."""
+    """Return the waiting tasks that should start at a target once it has room."""
     status = candidate.target_status
     return [
         (demand, group)
@@ -202,7 +241,9 @@
         if demand.service == status.service
         and status.slowness <= demand.max_slowness(median_slowness, now)
         for group in demand.groups
-        if candidate.address not in group.excluded and is_feasible(status, group.step)
+        if candidate.address not in group.excluded
+        and is_feasible(status, group.step)
+        and demand.should_use(status.slowness, group, outlook, now)
     ]
 
 
@@ -211,6 +252,7 @@
     candidate: TargetCandidate,
     median_slowness: float,
     now: float,
+    outlook: TargetOutlook = NO_OUTLOOK,
 ) -> tuple[QueueDemand, ...]:
     """Return the demand of each queue at one guard, the most urgent queues first.
 
@@ -219,7 +261,7 @@
     `work_ms` is that of all tasks; `divide_work` divides it among the guards.
     """
     by_queue: dict[str, list[tuple[JobDemand, TaskGroup]]] = defaultdict(list)
-    for demand, group in startable(jobs, candidate, median_slowness, now):
+    for demand, group in startable(jobs, candidate, median_slowness, now, outlook):
         by_queue[demand.queue].append((demand, group))
     demands = [
         queue_demand(queue, waiting, now)
@@ -292,6 +334,8 @@
     ----------
     guards : dict of str to set of str
         The guards of these targets, by service.
+    outlook : TargetOutlook
+        Expected waits for these targets, by their speed.
     """
 
     def __init__(
@@ -304,6 +348,7 @@
         self.candidates = {candidate.address: candidate for candidate in candidates}
         self.median_slowness = median_slowness
         self.now = now
+        self.outlook = TargetOutlook(self.candidates.values())
         self.guards: dict[str, set[str]] = defaultdict(set)
         for address, candidate in self.candidates.items():
             self.guards[candidate.target_status.service].add(address)
@@ -323,6 +368,7 @@
             status.service,
             status.capacity,
             status.slowness > self.slow_above,
+            speed_class(status.slowness),
             frozenset(self.labels.intersection(status.labels)),
             candidate.address if candidate.address in self.excluded else "",
         )
@@ -333,7 +379,7 @@
         kind = self.kind_of(candidate)
         if kind not in self.by_kind:
             self.by_kind[kind] = demands_for(
-                self.jobs, candidate, self.median_slowness, self.now
+                self.jobs, candidate, self.median_slowness, self.now, self.outlook
             )
         return self.by_kind[kind]
 
@@ -346,7 +392,7 @@
         counts: dict[tuple[str, int], int] = {}
         for kind, (first, *_) in kinds.items():
             for demand, group in startable(
-                self.jobs, first, self.median_slowness, self.now
+                self.jobs, first, self.median_slowness, self.now, self.outlook
             ):
                 tasks = (demand.job, id(group))
                 reach[tasks].append(kind)
