Make no plan for a demand whose time is used up

Cause: the check had been left to the look-ahead module alone, and the tests of the book of offers, which replace that module's function, failed. Change: check it in the book, too. Measured: tests of hawthorntrack/coordination/scheduling pass.

--- a/hawthorntrack/coordination/scheduling/offers.py
+++ b/hawthorntrack/coordination/scheduling/offers.py
@@ -488,6 +488,8 @@
             self.end_plan(key, kept=True, now=now)
             return None
         kept_since = self.kept_since.get(key, now)
+        if now >= kept_since + MAX_KEPT_S:
+            return None
         returned = tuple(
             ExpectedEnd(offer.free_again_at, offer.left)
             for offer in self.open_offers.values()
