--- a/hawthorntrack/coordination/room_offering.py
+++ b/hawthorntrack/coordination/room_offering.py
@@ -10,6 +10,7 @@
 from hawthorntrack.coordination.run_estimates import RunEstimates
 from hawthorntrack.coordination.scheduling.lookahead import (
     LOOK_AHEAD_HORIZONS_S,
+    RoomView,
     free_within,
 )
 from hawthorntrack.coordination.scheduling.offers import (
@@ -142,8 +143,10 @@
         self.record_ended(self.offers.expire(now), "expired")
         usable = self.status(session, now) == "ready"
         if usable and session.state.zone not in self.zones_out:
-            view = self.room_view(session, NO_RESOURCES, now)
-            while self.offers.demands:
+            view = RoomView(session.offered)
+            if self.offers.demands:
+                view = self.room_view(session, NO_RESOURCES, now)
+            while True:
                 open_view = view._replace(free=view.free.minus(self.offers.held))
                 offer = self.offers.next_offer(
                     open_view, now, self.slowness, self.upper_ratio
--- a/hawthorntrack/coordination/scheduling/estimates.py
+++ b/hawthorntrack/coordination/scheduling/estimates.py
@@ -41,6 +41,9 @@
         return self.mean + self.deviation
 
 
+UNMEASURED = RunTimeRatio()
+
+
 def after_run(ratio: RunTimeRatio, measured: float) -> RunTimeRatio:
     """Return the averages after the ratio of one more run."""
     distance = min(MAX_RATIO, measured) - ratio.mean
@@ -66,7 +69,7 @@
 
     def of(self, queue: str) -> RunTimeRatio:
         """Return the ratio of a queue."""
-        return self.by_queue.get(queue, RunTimeRatio())
+        return self.by_queue.get(queue, UNMEASURED)
 
     def learn(
         self, queue: str, measured_s: float, declared_s: float, slowness: float
