--- a/hawthorntrack/coordination/leaseholder.py
+++ b/hawthorntrack/coordination/leaseholder.py
@@ -172,6 +172,7 @@
             self.sequence,
             session.capacity_is_current,
             self.offers.waits(now),
+            self.free_soon_cpu_m(session, now),
         )
 
     def schedule_capacity_report(self) -> None:
--- a/hawthorntrack/coordination/room_offering.py
+++ b/hawthorntrack/coordination/room_offering.py
@@ -7,8 +7,12 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from hawthorntrack.coordination.run_controller import RunController
-from hawthorntrack.coordination.scheduling.lookahead import RoomView
+from hawthorntrack.coordination.run_estimates import RunEstimates
+from hawthorntrack.coordination.scheduling.lookahead import (
+    LOOK_AHEAD_HORIZONS_S,
+    RoomView,
+    free_within,
+)
 from hawthorntrack.coordination.scheduling.offers import (
     OFFER_VALID_S,
     Offer,
@@ -30,10 +34,12 @@
 from hawthorntrack.state.lease_times import LeaseTimes
 from hawthorntrack.state.mailbox import Mailbox, Tick
 from hawthorntrack.state.metrics import (
+    BACKFILL_PLANS,
     BAD_INPUT,
     DEMAND_REPORTS,
     HELD_CPU,
     OFFERS,
+    ROOM_KEPT_SECONDS,
     labelled,
 )
 from hawthorntrack.state.resources import NO_RESOURCES, Resources
@@ -48,7 +54,7 @@
     """Message of the lease holder to itself: an offer has expired or a pause ended."""
 
 
-class RoomOffering(RunController):
+class RoomOffering(RunEstimates):
     """Offers the target's free capacity to entry instances whose tasks wait.
 
     Explanation
@@ -60,7 +66,7 @@
     Parameters
     ----------
     calls, target_record, clock, first_token, lease_times, awake_clock
-        As for `RunController`.
+        As for `RunEstimates`.
     send : callable
         Sends a message to a peer; called with the peer's address and the message.
     share_room : bool
@@ -79,6 +85,8 @@
         Demands and open offers.
     room_changed : bool
         Whether capacity or demand has changed since offers were last made.
+    keeping_since : float or None
+        Time up to which kept capacity was counted; None while none is kept.
     review_at : float
         When the next `ReviewOffers` arrives; infinity if none is on its way.
     """
@@ -105,6 +113,7 @@
         # The first token is above those of earlier processes, and so are its offers.
         self.offers = OfferBook(first_token)
         self.room_changed = False
+        self.keeping_since: float | None = None
         self.review_at = float("inf")
 
     def status(self, session: TargetSession | None, now: float) -> str:
@@ -134,15 +143,46 @@
         self.record_ended(self.offers.expire(now), "expired")
         usable = self.status(session, now) == "ready"
         if usable and session.state.zone not in self.zones_out:
+            view = RoomView(session.offered)
+            if self.offers.demands:
+                view = self.room_view(session, NO_RESOURCES, now)
             while True:
-                free = session.offered.minus(self.offers.held)
-                offer = self.offers.next_offer(RoomView(free), now, self.slowness)
+                open_view = view._replace(free=view.free.minus(self.offers.held))
+                offer = self.offers.next_offer(
+                    open_view, now, self.slowness, self.upper_ratio
+                )
                 if offer is None:
                     break
                 self.send_offer(offer)
         HELD_CPU.set(self.offers.held.cpu_m)
+        self.record_plans(now)
         self.schedule_review(now)
 
+    def record_plans(self, now: float) -> None:
+        """Count plans for large tasks, and the time that capacity is kept for them."""
+        for outcome, count in self.offers.plan_counts.items():
+            labelled(BACKFILL_PLANS, outcome).inc(count)
+        self.offers.plan_counts.clear()
+        if self.keeping_since is not None:
+            ROOM_KEPT_SECONDS.inc(now - self.keeping_since)
+        keeps = self.offers.kept != NO_RESOURCES
+        if keeps and self.keeping_since is None:
+            kept = self.offers.kept
+            log_event("room:kept", cpu_m=kept.cpu_m, until=self.offers.kept_until)
+        self.keeping_since = now if keeps else None
+
+    def free_soon_cpu_m(self, session: TargetSession, now: float) -> tuple[int, ...]:
+        """Return the capacity expected to be free within each horizon; none if unused.
+
+        Explanation
+        -----------
+        Capacity that is reserved now will mostly be occupied.
+        """
+        if not self.share_room:
+            return ()
+        view = self.room_view(session, self.offers.reserved, now)
+        return free_within(view, LOOK_AHEAD_HORIZONS_S, now)
+
     def send_offer(self, offer: Offer) -> None:
         """Send an offer to its entry instance."""
         valid_ms = round(OFFER_VALID_S * 1000)
--- a/hawthorntrack/coordination/room_requests.py
+++ b/hawthorntrack/coordination/room_requests.py
@@ -6,7 +6,7 @@
 
 from hawthorntrack.coordination.guard_peer import GuardPeer
 from hawthorntrack.coordination.job_progress import Job, Task
-from hawthorntrack.coordination.run_placement import RunPlacement
+from hawthorntrack.coordination.look_ahead_placement import LookAheadPlacement
 from hawthorntrack.coordination.scheduling.demand import (
     MIN_REPORT_INTERVAL_S,
     Backlog,
@@ -22,6 +22,7 @@
     tasks_that_fit,
     without_vain_exclusions,
 )
+from hawthorntrack.coordination.scheduling.outlook import NO_OUTLOOK
 from hawthorntrack.coordination.scheduling.placement_pass import (
     NOMINAL_SLOWNESS,
     PlacementPass,
@@ -66,7 +67,7 @@
 MIN_LOGGED_WAIT_S = 0.25
 
 
-class RoomRequests(RunPlacement):
+class RoomRequests(LookAheadPlacement):
     """Reports waiting tasks to guards, and uses the capacity that they offer.
 
     Explanation
@@ -76,7 +77,7 @@
     Parameters
     ----------
     zone, far_factor, send, links, clock, lease_times, working_set, share_room
-        As for `RunPlacement`.
+        As for `LookAheadPlacement`.
 
     Attributes
     ----------
@@ -90,6 +91,8 @@
         Median slowness of the targets that accept runs, at the last review of demand.
     guards : dict of str to set of str
         The guards of these targets, by service.
+    outlook : TargetOutlook
+        Expected waits for these targets, by their speed.
     asking_since : float or None
         Time at which this instance began to report demand; None if none is reported.
     contended_until : float
@@ -114,6 +117,7 @@
         self.changed_jobs: set[str] = set()
         self.reports = DemandReports()
         self.median_slowness = NOMINAL_SLOWNESS
+        self.outlook = NO_OUTLOOK
         self.guards: dict[str, set[str]] = {}
         self.reviewed_at = 0.0
         self.reviewed_tasks: dict[str, int] = {}
@@ -275,7 +279,9 @@
 
     def view_demand(self, now: float) -> DemandView:
         """Return the demand at the guards that accept runs, except those set apart."""
-        placement = PlacementPass(self.candidates(now), self.zone, self.far_factor)
+        placement = PlacementPass(
+            self.candidates(now), self.zone, self.far_factor, self.speeds
+        )
         candidates = (
             candidate
             for candidate in placement.candidates.values()
@@ -284,6 +290,7 @@
         jobs = self.backlog.jobs.values()
         view = DemandView(jobs, candidates, placement.median_slowness, now)
         self.median_slowness, self.guards = view.median_slowness, view.guards
+        self.outlook = view.outlook
         return view
 
     def log_waits(self, now: float) -> None:
@@ -340,7 +347,7 @@
             or peer.address in self.set_apart(status.service)
         ):
             return None
-        return peer.to_candidate()
+        return peer.to_candidate()._replace(target_status=self.speeds.assume(status))
 
     def remaining_demand(self, peer: GuardPeer, now: float) -> tuple[QueueDemand, ...]:
         """Return the demand at a guard after an offer of it was used."""
@@ -349,7 +356,7 @@
         if candidate is None:
             return ()
         jobs = map(self.with_allowed_guards, self.backlog.jobs.values())
-        demands = demands_for(jobs, candidate, self.median_slowness, now)
+        demands = demands_for(jobs, candidate, self.median_slowness, now, self.outlook)
         guards = max(1, len(self.reports.reports))
         return tuple(
             demand._replace(work_ms=round(demand.work_ms / guards))
@@ -407,7 +414,11 @@
             if free.cpu_m < least_cpu_m:
                 return
             groups = startable(
-                [self.with_allowed_guards(demand)], candidate, self.median_slowness, now
+                [self.with_allowed_guards(demand)],
+                candidate,
+                self.median_slowness,
+                now,
+                self.outlook,
             )
             if not any(group.step.need.fits_in(free) for _, group in groups):
                 continue
--- a/hawthorntrack/coordination/scheduling/offers.py
+++ b/hawthorntrack/coordination/scheduling/offers.py
@@ -6,14 +6,16 @@
 """
 
 from collections import Counter, defaultdict, deque
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from functools import reduce
 from typing import NamedTuple
 
 from hawthorntrack.coordination.scheduling.lookahead import (
+    MAX_KEPT_S,
     BackfillPlan,
     ExpectedEnd,
     RoomView,
+    backfill_limit_ms,
     backfill_plan,
 )
 from hawthorntrack.coordination.scheduling.shares import WeightedShares, weight_of
@@ -37,8 +39,6 @@
 # It then gets no offer before a report that is at least this much later: one interval
 # between unchanged reports.
 EXPIRED_PAUSE_S = 0.25
-# Capacity that is kept free for one task is idle, which is worth it for a short time.
-MAX_KEPT_S = 0.1
 # Covers some tens of starts at a busy target.
 START_RATE_WINDOW_S = 0.5
 # Longer than any caller waits. It also keeps the reported number within its bounds.
@@ -196,6 +196,8 @@
         Time at which `kept` is free again.
     kept_since : dict of (str, str) to float
         When capacity was first kept, by entry instance and queue.
+    plan_counts : Counter
+        Plans that were ``made``, ``kept`` (the task fitted in time) or ``dropped``.
     paused_until : dict of (str, str) to float
         No offer is made before this time, by entry instance and queue.
     expiries : dict of str to Expiries
@@ -216,6 +218,7 @@
         self.kept = NO_RESOURCES
         self.kept_until = 0.0
         self.kept_since: dict[tuple[str, str], float] = {}
+        self.plan_counts: Counter[str] = Counter()
         self.paused_until: dict[tuple[str, str], float] = {}
         self.expiries: dict[str, Expiries] = {}
         self.silent_since: dict[str, float] = {}
@@ -263,11 +266,9 @@
                 demand.shortest_run_ms,
                 demand.work_ms,
             )
-        self.kept_since = {
-            (owner, queue): since
-            for (owner, queue), since in self.kept_since.items()
-            if owner in self.demands.get(queue, ())
-        }
+        for owner, queue in list(self.kept_since):
+            if owner not in self.demands.get(queue, ()):
+                self.end_plan((owner, queue), kept=False, now=now)
 
     def remove_demands(self, entry: str) -> None:
         """Remove all demands of an entry instance."""
@@ -393,7 +394,11 @@
         return min([*times, *kept, *self.paused_until.values()], default=float("inf"))
 
     def next_offer(
-        self, room: RoomView, now: float, slowness: float = 1.0
+        self,
+        room: RoomView,
+        now: float,
+        slowness: float = 1.0,
+        ratio_of: Callable[[str], float] = lambda queue: 1.0,
     ) -> Offer | None:
         """Open the next offer; None if no demand can use the free capacity.
 
@@ -410,6 +415,9 @@
             Current time in seconds.
         slowness : float
             Ratio of run times on the target to declared ones.
+        ratio_of : callable
+            Returns the upper side of a queue's run times over those that follow from
+            `slowness`.
         """
         self.kept = NO_RESOURCES
         full = len(self.open_offers) >= MAX_OPEN_OFFERS
@@ -419,7 +427,8 @@
         for position, (demand, share_work) in enumerate(self.in_order()):
             if not position:
                 plan = self.plan_for(demand, room, now)
-            for bounds in self.bounds_for(demand, plan, room.free, now, slowness):
+            factor = (slowness or 1.0) * ratio_of(demand.queue)
+            for bounds in self.bounds_for(demand, plan, room.free, now, factor):
                 if demand.smallest.fits_in(bounds.capacity):
                     return self.open_offer(demand, share_work, bounds, now)
         return None
@@ -476,7 +485,7 @@
         """Keep capacity free for the first demand if its task fits soon."""
         key = (demand.entry, demand.queue)
         if demand.first.fits_in(room.free):
-            self.kept_since.pop(key, None)
+            self.end_plan(key, kept=True, now=now)
             return None
         kept_since = self.kept_since.get(key, now)
         if now >= kept_since + MAX_KEPT_S:
@@ -487,27 +496,36 @@
             if offer.max_run_ms
         )
         view = room._replace(ends=room.ends + returned)
-        plan = backfill_plan(demand.first, view, now)
+        plan = backfill_plan(demand.first, view, now, kept_since)
         if plan is not None:
+            if key not in self.kept_since:
+                self.plan_counts["made"] += 1
             self.kept_since[key] = kept_since
             self.kept = room.free.minus(lower(room.free, plan.spare))
             self.kept_until = min(plan.at, kept_since + MAX_KEPT_S)
         return plan
 
+    def end_plan(self, key: tuple[str, str], kept: bool, now: float) -> None:
+        """Count the end of a plan; one that was kept too long counts as dropped."""
+        since = self.kept_since.pop(key, None)
+        if since is not None:
+            kept = kept and now <= since + MAX_KEPT_S
+            self.plan_counts["kept" if kept else "dropped"] += 1
+
     def bounds_for(
         self,
         demand: Demand,
         plan: BackfillPlan | None,
         free: Resources,
         now: float,
-        slowness: float,
+        run_time_factor: float,
     ) -> Iterator[Bounds]:
         """Yield what a demand may get: without a limit of run times first."""
         if plan is None:
             yield Bounds(free)
             return
         yield Bounds(lower(free, plan.spare))
-        max_run_ms = int((plan.at - now) * 1000 / (slowness or 1.0))
+        max_run_ms = backfill_limit_ms(plan, run_time_factor, now)
         if 0 < max_run_ms >= demand.shortest_run_ms:
             yield Bounds(free, max_run_ms, plan.at)
 
