Refuse jobs at arrival by the wait that guards report

Cause: in a burst that cannot be served, each refused job first waits for 0.4 of its objective, and Retry-After follows from the answers of one instance only.

Change: with share_room on, an entry instance expects a wait for each queue from the reports of its guards, and refuses a job at arrival if that exceeds the longest wait of the job and no guard reports free capacity for it. A job is admitted while no other of its queue waits at the instance: without demand, the queue would lose its share. Retry-After is planned by queue, spaced by the share of the drain rate that the instance gets. check_admission and overload_refusal move to coordination/job_admission.py. With share_room off, the decisions are as before.

--- a/hawthorntrack/coordination/dispatcher.py
+++ b/hawthorntrack/coordination/dispatcher.py
@@ -2,18 +2,16 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Iterable
-from itertools import chain, takewhile
+from itertools import takewhile
 from typing import Any, NamedTuple
 
 from hawthorntrack.coordination.guard_peer import LINK_TIMEOUT_S
-from hawthorntrack.coordination.job_progress import PLACED, Job, critical_path_length_s
-from hawthorntrack.coordination.queueing import (
-    jitter_of,
-    objective_s,
-    retry_after_s,
+from hawthorntrack.coordination.job_admission import (
+    ANSWER_RATE_WINDOW_S,
+    STARTUP_GRACE_S,
+    JobAdmission,
 )
-from hawthorntrack.coordination.room_requests import RoomRequests
-from hawthorntrack.coordination.target_selection import is_feasible
+from hawthorntrack.coordination.job_progress import PLACED, Job
 from hawthorntrack.coordination.working_set import WorkingSet
 from hawthorntrack.protocol.job_requests import (
     CallerDisconnected,
@@ -29,7 +27,7 @@
     StopRuns,
 )
 from hawthorntrack.state.actor import handles
-from hawthorntrack.state.catalogue import Queue, QueueIndex
+from hawthorntrack.state.catalogue import QueueIndex
 from hawthorntrack.state.clock import Clock
 from hawthorntrack.state.event_log import log_event
 from hawthorntrack.state.lease_times import LeaseTimes
@@ -48,7 +46,6 @@
     Abandoned,
     BadJob,
     Completed,
-    JobFailed,
     JobState,
     NoQueue,
     Refused,
@@ -66,12 +63,9 @@
 # The event loop reads the end of a connection in one pass, and cancels the reply in the
 # next.
 PASSES_TO_NOTICE_DISCONNECTION = 2
-# Guards and targets announce themselves within two intervals of target heartbeats.
-STARTUP_GRACE_S = 3.0
 CONFIGURATION_RETRY_S = 0.02
 # The load balancer removes an instance after two failed health checks, 1 s apart.
 MIN_DRAIN_S = 2.6
-ANSWER_RATE_WINDOW_S = 2.0
 # For this long, a guard reports the end of a run again when it is asked.
 RUN_NUMBERS_RETENTION_S = 5.0
 # Weight of a new job in the moving mean of its queue, which thus covers about the
@@ -98,7 +92,7 @@
     passes_left: int
 
 
-class Dispatcher(RoomRequests):
+class Dispatcher(JobAdmission):
     """Actor that owns the open jobs of one entry instance.
 
     Parameters
@@ -147,19 +141,22 @@
     ) -> None:
         working_set = WorkingSet(address, zone, max_guard_links)
         super().__init__(
-            zone, far_factor, send, links, clock, lease_times, working_set, share_room
+            zone,
+            far_factor,
+            send,
+            links,
+            clock,
+            lease_times,
+            working_set,
+            share_room,
+            drain_s,
         )
         self.drained = drained
         self.on_ready = on_ready
         self.index = QueueIndex(self.directives.catalogue)
-        self.completion_times: list[float] = []
         self.used_run_numbers: dict[str, UsedRunNumbers] = {}
-        self.began_at = clock()
         self.handled_at = 0.0
         self.sockets_read_at = 0.0
-        self.drain_s = drain_s
-        self.drain_began: float | None = None
-        self.drain_complete = False
 
     def handle(self, message: Any) -> None:
         """Handle one message; place waiting tasks once the mailbox is empty."""
@@ -273,64 +270,6 @@
         )
         self.queue_job(job)
 
-    def check_admission(
-        self, submission: SubmitPlan, queue: Queue, now: float
-    ) -> Verdict | None:
-        """Return the verdict that rejects a job, or None to admit it."""
-        if submission.arrived_at + submission.deadline_s <= now:
-            return Refused("deadline_passed", 1)
-        if self.drain_began is not None and not self.can_finish_during_drain(
-            submission, queue, now
-        ):
-            return Refused("draining", 1)
-        if submission.plan.survives_disconnect:
-            return Refused("kept_jobs_not_offered", 5)
-        verdict = self.crash_verdict(submission.plan.key)
-        if verdict is not None:
-            return verdict
-        statuses = [
-            peer.target_status
-            for peer in self.peers.values()
-            if peer.target_status.service == queue.service
-        ]
-        if not statuses:
-            # Targets are announced within two heartbeats of a guard's start.
-            starting = now < self.began_at + STARTUP_GRACE_S
-            return None if starting else Refused("no_target", 1)
-        unsuitable = [
-            step
-            for step in submission.plan.steps
-            if not any(is_feasible(status, step) for status in statuses)
-        ]
-        if not unsuitable:
-            return None
-        labels = frozenset(chain.from_iterable(status.labels for status in statuses))
-        if len(self.peers) < len(self.working_set.guards) and any(
-            step.label and step.label not in labels for step in unsuitable
-        ):
-            # Other targets may have the label, so the job is not failed for good.
-            self.working_set.note_shortage()
-            return Refused("label_not_linked", 1)
-        return JobFailed("no_target_is_large_enough")
-
-    def can_finish_during_drain(
-        self, submission: SubmitPlan, queue: Queue, now: float
-    ) -> bool:
-        """Return whether a job submitted during a drain can end before the drain does.
-
-        Explanation
-        -----------
-        Load pattern: rolling restarts with callers that keep their connections. They
-        submit jobs here until the process exits, and would otherwise only get
-        refusals.
-        """
-        critical_path_s = critical_path_length_s(submission.plan.steps)
-        objective = objective_s(critical_path_s, queue.stretch, queue.latency_target_s)
-        return (
-            not self.drain_complete
-            and now + objective < self.drain_began + self.drain_s
-        )
-
     def refuse(self, submission: SubmitPlan, verdict: Verdict) -> None:
         """Answer a submission that is not admitted."""
         reason = getattr(verdict, "reason", "")
@@ -505,6 +444,7 @@
     def on_tick(self, tick: Tick, sender: Incarnation) -> None:
         """End expired jobs, and reschedule the runs of silent guards."""
         now = self.sockets_read_at = self.clock()
+        self.record_waits(now)
         self.end_unawaited_jobs(self.jobs.values())
         for job in list(self.jobs.values()):
             if not job.begun and job.placement_deadline_at <= now:
@@ -541,18 +481,6 @@
         used = self.used_run_numbers
         return list(takewhile(lambda key: used[key].ended_at <= ended_by, used))
 
-    def count_unstarted_jobs(self) -> int:
-        """Return the number of jobs of which no task was placed yet."""
-        return sum(not job.begun for job in self.jobs.values())
-
-    def overload_refusal(self, job: Job) -> Refused:
-        """Return the refusal of a job for which no capacity was free in time."""
-        rate = len(self.completion_times) / ANSWER_RATE_WINDOW_S
-        after_s = retry_after_s(
-            self.count_unstarted_jobs(), rate, jitter_of(job.plan.key)
-        )
-        return Refused("overloaded", after_s, overloaded=True)
-
     def report_ready(self) -> None:
         """Report whether this instance can accept jobs."""
         if self.drain_began is not None:
--- a/hawthorntrack/state/metrics.py
+++ b/hawthorntrack/state/metrics.py
@@ -6,6 +6,14 @@
 from prometheus_client import Counter, Gauge, Histogram
 
 REFUSALS = Counter("hawthorntrack_refusals", "Requests refused, not run.", ["kind"])
+ARRIVAL_REFUSALS = Counter(
+    "hawthorntrack_arrival_refusals",
+    "Jobs refused at arrival because their expected wait exceeds a limit.",
+    ["queue", "limit"],
+)
+EXPECTED_WAIT_SECONDS = Gauge(
+    "hawthorntrack_expected_wait_seconds", "Expected wait of a new job.", ["queue"]
+)
 FAILURES = Counter("hawthorntrack_failures", "Jobs answered as failed.", ["kind"])
 RETRIES = Counter("hawthorntrack_retries", "Tasks or requests sent again.", ["reason"])
 JOBS = Counter("hawthorntrack_jobs", "Jobs answered.", ["status"])
