--- a/hawthorntrack/state/metrics.py
+++ b/hawthorntrack/state/metrics.py
@@ -22,6 +22,16 @@
     "hawthorntrack_target_crashes", "Crashes of the target beside a guard."
 )
 NOT_RUN = Counter("hawthorntrack_not_run", "Tasks returned unstarted.", ["reason"])
+OFFERS = Counter(
+    "hawthorntrack_offers", "Offers of capacity that have ended.", ["outcome"]
+)
+DEMAND_REPORTS = Counter(
+    "hawthorntrack_demands_reported", "Reports of waiting tasks received."
+)
+HELD_CPU = Gauge(
+    "hawthorntrack_held_cpu_m",
+    "Processor capacity held for open offers, in millicores.",
+)
 MESSAGES = Counter("hawthorntrack_messages", "Bus messages.", ["direction", "type"])
 MESSAGE_BYTES = Counter("hawthorntrack_message_bytes", "Bus bytes.", ["direction"])
 BAD_INPUT = Counter(
@@ -41,6 +51,15 @@
 GUARD_LINKS = Gauge(
     "hawthorntrack_guard_links", "Guards of an entry instance's working set.", ["state"]
 )
+DEMAND_REPORTS = Counter(
+    "hawthorntrack_demand_reports", "Reports of waiting tasks to guards.", ["kind"]
+)
+OFFERS_ANSWERED = Counter(
+    "hawthorntrack_offers_answered", "Guards' offers of capacity answered.", ["outcome"]
+)
+OFFERED_STARTS = Counter(
+    "hawthorntrack_offered_starts", "Tasks started in capacity that a guard offered."
+)
 CLAIMS = Counter("hawthorntrack_slot_claims", "Slot claims begun.", ["reason"])
 SLOTS = Gauge("hawthorntrack_slots", "Slots by role of this guard.", ["phase"])
 QUEUED = Gauge("hawthorntrack_queued_tasks", "Tasks waiting.", ["where"])
