Build the admission tests' dispatcher with the setting it is tested with

Cause: the class of its shares now follows from share_room at construction. Change: the fixture passes the setting.

--- a/hawthorntrack/coordination/tests/test_admission_by_wait.py
+++ b/hawthorntrack/coordination/tests/test_admission_by_wait.py
@@ -22,11 +22,10 @@
 
 
 @pytest.fixture
-def sharing_entry():
-    """Return an entry instance with one guard and with `share_room`."""
+def sharing_entry(request):
+    """Return an entry instance with one guard, and with `share_room` as requested."""
     loop = asyncio.new_event_loop()
-    entry = DispatcherHarness(loop)
-    entry.dispatcher.share_room = True
+    entry = DispatcherHarness(loop, share_room=getattr(request, "param", True))
     entry.set_directives()
     entry.connect_guard(GUARD_1)
     yield entry
@@ -78,8 +77,8 @@
     assert sharing_entry.submit("b" * 16, queue="check").result().overloaded
 
 
+@pytest.mark.parametrize("sharing_entry", [False], indirect=True)
 def test_without_share_room_the_reported_wait_changes_nothing(sharing_entry):
-    sharing_entry.dispatcher.share_room = False
     report_wait(sharing_entry, LONG_WAIT_MS)
     reply = sharing_entry.submit()
     assert not reply.done()
