Check a configuration of queues and services before it is sent

Cause: processes accept every configuration that decodes. A queue that another one hides, a service that is not defined, a misspelt field or a waiting limit above its callers' deadlines shows only in production.

--- a/hawthorntrack/cli/main.py
+++ b/hawthorntrack/cli/main.py
@@ -3,6 +3,7 @@
 import click
 
 from hawthorntrack import __version__
+from hawthorntrack.cli.configurations import configuration
 from hawthorntrack.cli.context import Context
 from hawthorntrack.cli.documents import document
 from hawthorntrack.cli.fleet import guard, status, zone
@@ -58,7 +59,7 @@
     context.obj = Context(table_url, environment, as_json, timeout)
 
 
-for group in (document, zone, status, guard, job):
+for group in (document, configuration, zone, status, guard, job):
     main.add_command(group)
 
 if __name__ == "__main__":
--- a/hawthorntrack/platform/formats.py
+++ b/hawthorntrack/platform/formats.py
@@ -423,6 +423,39 @@
     )
 
 
+def find_unknown_config_fields(value: bytes) -> list[str]:
+    """Return the paths of the fields that `decode_catalogue` ignores.
+
+    Explanation
+    -----------
+    A field with a misspelt name is ignored, and its default value takes effect.
+
+    Raises
+    ------
+    Malformed
+        If the value does not match the schema of the configuration.
+    """
+    decode_json(config_decoder, value)
+    config = msgspec.json.decode(value)
+    return [
+        *unknown_fields(config, ConfigFields, ""),
+        *unknown_fields(config.get("limits", {}), LimitFields, "limits."),
+        *(
+            path
+            for name, shape in (("routes", RouteFields), ("services", ServiceFields))
+            for number, item in enumerate(config.get(name, ()))
+            for path in unknown_fields(item, shape, f"{name}[{number}].")
+        ),
+    ]
+
+
+def unknown_fields(
+    item: dict[str, Any], shape: type[msgspec.Struct], path: str
+) -> list[str]:
+    """Return the paths of the fields of an object that a schema does not have."""
+    return [path + name for name in item if name not in shape.__struct_fields__]
+
+
 def decode_operator_rows(rows: dict[str, StoreRow], stamp: int) -> Directives:
     """Decode the operator's rows: the configuration and the zones out of service.
 
