Let the soak's processes offer capacity to waiting tasks

Cause: the soak's settings left share_room at its default, off, so that no run covered the messages of the offers. Change: the settings of its processes have share_room true; a parameter turns it off.

--- a/hawthorntrack/experiment/soak.py
+++ b/hawthorntrack/experiment/soak.py
@@ -151,6 +151,8 @@
         Names of the faults to inject; all registered faults if empty.
     max_guard_links : int
         Largest number of guards that an entry instance keeps links to.
+    share_room : bool
+        As for `SoakSite`.
     """
 
     def __init__(
@@ -163,6 +165,7 @@
         callers: int = CALLERS,
         faults: Sequence[str] = (),
         max_guard_links: int = MAX_GUARD_LINKS,
+        share_room: bool = True,
     ) -> None:
         self.seed = seed
         self.faults = faults or soak_faults.names()
@@ -171,7 +174,7 @@
         self.rng = random.Random(seed)
         self.checker = PromiseChecker()
         self.site = SoakSite(
-            entries, guards, seed, block, self.checker, max_guard_links
+            entries, guards, seed, block, self.checker, max_guard_links, share_room
         )
         self.checker.site = self.site
         self.site.queue_listener = self.on_queue_changed
--- a/hawthorntrack/experiment/soak_site.py
+++ b/hawthorntrack/experiment/soak_site.py
@@ -115,6 +115,8 @@
         Object whose `on_run_started` and `on_run_ended` the targets call.
     max_guard_links : int
         Largest number of guards that an entry instance keeps links to.
+    share_room : bool
+        Whether the processes' settings let guards offer capacity to waiting tasks.
     """
 
     def __init__(
@@ -125,8 +127,10 @@
         block: int,
         watcher: Any,
         max_guard_links: int = MAX_GUARD_LINKS,
+        share_room: bool = True,
     ) -> None:
         self.max_guard_links = max_guard_links
+        self.share_room = share_room
         self.rng = random.Random(seed)
         self.block = block
         self.watcher = watcher
@@ -253,6 +257,7 @@
             "grace_s": GRACE_S,
             "far_factor": 1.5,
             "max_guard_links": self.max_guard_links,
+            "share_room": self.share_room,
         }
         path = self.folder / f"{node.name}.yaml"
         path.write_text(yaml.safe_dump(body, sort_keys=False))
