Search the states of the capacity offers between a guard and entry instances

Cause: offers hold capacity across two processes, and each of them may die, be late or be cut off while an offer is open. With offer numbers that start at 1 again after a restart, an order of the earlier incarnation takes capacity of the new one; the book's first number prevents it.

--- a/hawthorntrack/specs/main.py
+++ b/hawthorntrack/specs/main.py
@@ -3,14 +3,17 @@
 import sys
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import NamedTuple
 
 import click
 
 from hawthorntrack.coordination import ownership
-from hawthorntrack.specs import document_versions, slot_protocol
+from hawthorntrack.coordination.scheduling.offers import OfferBook
+from hawthorntrack.specs import capacity_offers, document_versions, slot_protocol
 from hawthorntrack.specs.explore import Report, breadth_first, random_walks
 from hawthorntrack.specs.mutations import mutations
+from hawthorntrack.specs.offer_mutations import offer_mutations
 from hawthorntrack.state.registry import Registry
 
 MAX_STATES = 2_000_000
@@ -67,6 +70,34 @@
     )
 
 
+def offer_search(
+    limits: capacity_offers.Limits, book: type[OfferBook] = OfferBook
+) -> Report:
+    """Search the model of the offers of capacity exhaustively."""
+    make_book = partial(capacity_offers.make_book, book=book)
+    model = capacity_offers.Offers(limits, make_book)
+    return breadth_first(
+        capacity_offers.initial_state(limits, make_book),
+        model.successors,
+        model.find_violation,
+        MAX_STATES,
+    )
+
+
+def offer_walks(limits: capacity_offers.Limits, walks: int, seed: int) -> Report:
+    """Explore by random walks offers with too many faults for an exhaustive search."""
+    model = capacity_offers.Offers(limits)
+    return random_walks(
+        capacity_offers.initial_state(limits),
+        model.successors,
+        model.find_violation,
+        walks,
+        60,
+        seed,
+        capacity_offers.weight,
+    )
+
+
 def register_search(
     name: str, run: Callable[[], Report], expects_violation: bool = False
 ) -> None:
@@ -118,6 +149,59 @@
         expects_violation=True,
     )
 
+ONE_TASK_EACH = ((1,), (2,))
+ONE_ENTRY = ((1,), ())
+OFFER_SEARCHES = {
+    "2 tasks each": capacity_offers.Limits(ticks=()),
+    "offers expire": capacity_offers.Limits(ONE_TASK_EACH),
+    "entry instance dies": capacity_offers.Limits(
+        ONE_TASK_EACH, ticks=(), entry_deaths=1
+    ),
+    "guard dies": capacity_offers.Limits(ONE_TASK_EACH, ticks=(), guard_deaths=1),
+    "guard dies, offers expire": capacity_offers.Limits(ONE_ENTRY, guard_deaths=1),
+    "link breaks": capacity_offers.Limits(ONE_TASK_EACH, ticks=(), breaks=1),
+    "link breaks, offers expire": capacity_offers.Limits(ONE_ENTRY, breaks=1),
+    "link falls silent": capacity_offers.Limits(ONE_TASK_EACH, ticks=(), silences=1),
+    "link falls silent, offers and demands expire": capacity_offers.Limits(
+        ONE_ENTRY,
+        ticks=(capacity_offers.OFFER_OVER_MS, capacity_offers.DEMAND_OVER_MS),
+        silences=1,
+    ),
+    "direct order, cancellation": capacity_offers.Limits(
+        ONE_TASK_EACH, ticks=(), direct=1, cancellations=1
+    ),
+}
+for case, offer_limits in OFFER_SEARCHES.items():
+    register_search(f"offers, {case}", lambda limits=offer_limits: offer_search(limits))
+register_search(
+    "offers, walks with all faults",
+    lambda: offer_walks(
+        capacity_offers.Limits(
+            ticks=(5, 35, 12, 35, 600),
+            repeats=3,
+            cancellations=1,
+            direct=2,
+            entry_deaths=1,
+            guard_deaths=1,
+            breaks=2,
+            silences=1,
+        ),
+        walks=400,
+        seed=1,
+    ),
+)
+OFFER_MUTATION_LIMITS = capacity_offers.Limits(
+    ((1, 1), (2,)), entry_deaths=1, guard_deaths=1
+)
+for mutation in offer_mutations:
+    register_search(
+        f"offers, mutation {mutation}",
+        lambda book=offer_mutations[mutation]: offer_search(
+            OFFER_MUTATION_LIMITS, book
+        ),
+        expects_violation=True,
+    )
+
 
 @click.command()
 @click.option("--only", default="", help="Searches whose name contains this.")
