Give the model of the offers expected ends, and check what is kept free

Cause: the book also keeps free capacity for a task that fits soon. Change: the guard of the model knows when its runs end; new invariants: occupied and reserved capacity stay within the capacity, and nothing is kept that no task waits for.

--- a/hawthorntrack/specs/capacity_offers.py
+++ b/hawthorntrack/specs/capacity_offers.py
@@ -15,7 +15,7 @@
 from functools import partial
 from typing import Any, NamedTuple
 
-from hawthorntrack.coordination.scheduling.lookahead import RoomView
+from hawthorntrack.coordination.scheduling.lookahead import ExpectedEnd, RoomView
 from hawthorntrack.coordination.scheduling.offers import OfferBook
 from hawthorntrack.protocol.run_messages import BoundedResources, QueueDemand
 from hawthorntrack.state.resources import NO_RESOURCES, Resources
@@ -25,7 +25,8 @@
 
 QUEUE = "visits"
 CORE_M = 1_000
-RUN_MS = 120
+# Short enough that capacity is kept free until a run of this length has ended.
+RUN_MS = 60
 # Longer than an offer is valid, and longer than a demand that is not repeated.
 OFFER_OVER_MS = 35
 DEMAND_OVER_MS = 600
@@ -82,6 +83,13 @@
     number: int
 
 
+class Run(NamedTuple):
+    """A run at the guard, and the time by its clock at which its end is expected."""
+
+    task: Task
+    ends_at_ms: int
+
+
 class OpenOffer(NamedTuple):
     """An offer that is in force, recorded apart from the book under test.
 
@@ -167,7 +175,7 @@
 
     nonce: int
     book: bytes
-    runs: frozenset[Task] = frozenset()
+    runs: frozenset[Run] = frozenset()
     ended: frozenset[Task] = frozenset()
     open_offers: tuple[OpenOffer, ...] = ()
 
@@ -493,13 +501,14 @@
     ) -> SystemState:
         """Return the state after an entry instance has listed its runs."""
         guard, listed = system.guard, frozenset(message.tasks)
-        own = {task for task in guard.runs if task.entry == number}
-        system = system._replace(
-            guard=guard._replace(runs=guard.runs - own | listed & own)
+        running = {run.task for run in guard.runs}
+        kept = frozenset(
+            run for run in guard.runs if run.task.entry != number or run.task in listed
         )
+        system = system._replace(guard=guard._replace(runs=kept))
         for kind, tasks in (
             ("ended", listed & guard.ended),
-            ("refused", listed - own - guard.ended),
+            ("refused", listed - running - guard.ended),
         ):
             if tasks:
                 answer = Message(kind, tuple(sorted(tasks)))
@@ -512,7 +521,7 @@
         """Return the state after the guard has decided on the runs of an order."""
         refused = []
         for task in message.tasks:
-            need, guard = self.limits.need(task), system.guard
+            need = self.limits.need(task)
             free = self.limits.total().minus(self.occupied(system))
             fits = need.fits_in(free)
             granted = (
@@ -527,11 +536,11 @@
             elif not (fits and need.fits_in(free.minus(book.reserved))):
                 refused.append(task)
                 continue
-            if task in guard.runs:
+            if any(run.task == task for run in system.guard.runs):
                 system = system._replace(violation=f"{task} is started twice")
             book.charge(QUEUE, 0, need.cpu_m * RUN_MS / 1e6, seconds(system))
-            guard = system.guard
-            system = system._replace(guard=guard._replace(runs=guard.runs | {task}))
+            guard, run = system.guard, Run(task, system.clock_ms + RUN_MS)
+            system = system._replace(guard=guard._replace(runs=guard.runs | {run}))
         if refused:
             answer = Message("refused", tuple(refused))
             system = send(system, number, TO_ENTRY, answer)
@@ -576,9 +585,9 @@
             yield "guard restarts", partial(self.restart_guard, system)
             return
         yield "guard's timer", partial(self.run_timer, system)
-        for task in sorted(guard.runs):
-            name = f"run of {task.entry}.{task.number} ends"
-            yield name, partial(self.end_run, system, task)
+        for run in sorted(guard.runs):
+            name = f"run of {run.task.entry}.{run.task.number} ends"
+            yield name, partial(self.end_run, system, run)
         if self.allowed(system, "guard_deaths"):
             yield from self.guard_death_steps(count(system, "guard_deaths"))
 
@@ -604,10 +613,10 @@
         """Return the state after the guard has noticed that time has passed."""
         return self.offer_room(system, pickle.loads(system.guard.book))
 
-    def end_run(self, system: SystemState, task: Task) -> SystemState:
+    def end_run(self, system: SystemState, run: Run) -> SystemState:
         """Return the state after a run has ended and its owner was told."""
-        guard = system.guard
-        ended = guard._replace(runs=guard.runs - {task}, ended=guard.ended | {task})
+        guard, task = system.guard, run.task
+        ended = guard._replace(runs=guard.runs - {run}, ended=guard.ended | {task})
         system = system._replace(guard=ended)
         system = send(system, task.entry, TO_ENTRY, Message("ended", (task,)))
         return self.offer_room(system, pickle.loads(guard.book))
@@ -618,9 +627,13 @@
         guard = system.guard
         valid = tuple(o for o in guard.open_offers if o.ends_at_ms > system.clock_ms)
         system = system._replace(guard=guard._replace(open_offers=valid))
-        while True:
+        ends = tuple(
+            ExpectedEnd(run.ends_at_ms / 1000, self.limits.need(run.task))
+            for run in sorted(guard.runs)
+        )
+        while book.demands:
             free = self.limits.total().minus(self.occupied(system)).minus(book.held)
-            offer = book.next_offer(RoomView(free), seconds(system))
+            offer = book.next_offer(RoomView(free, ends), seconds(system))
             if offer is None:
                 break
             number, guard = entry_number(offer.entry), system.guard
@@ -637,7 +650,7 @@
 
     def occupied(self, system: SystemState) -> Resources:
         """Return what the runs at the guard need together."""
-        return add_up(map(self.limits.need, system.guard.runs))
+        return add_up(self.limits.need(run.task) for run in system.guard.runs)
 
     def allowed(self, system: SystemState, bound: str) -> bool:
         """Return whether a bounded step may still be taken."""
@@ -650,8 +663,11 @@
         if not system.guard.book:
             return None
         book = pickle.loads(system.guard.book)
-        if not book.held.plus(self.occupied(system)).fits_in(self.limits.total()):
-            return f"{self.occupied(system)} occupied and {book.held} held"
+        occupied = self.occupied(system)
+        if not book.reserved.plus(occupied).fits_in(self.limits.total()):
+            return f"{occupied} occupied and {book.reserved} reserved"
+        if book.kept != NO_RESOURCES and not book.demands:
+            return f"{book.kept} is kept free, and no task waits for it"
         offers = system.guard.open_offers
         recorded = add_up(offer.left for offer in offers)
         if not book.held.fits_in(recorded):
@@ -667,8 +683,8 @@
             return None
         later = (system.clock_ms + ALL_OVER_MS) / 1000
         book.expire(later)
-        if book.held != NO_RESOURCES:
-            return f"{book.held} stays held"
+        if book.reserved != NO_RESOURCES:
+            return f"{book.reserved} stays reserved"
         if book.next_offer(RoomView(self.limits.total()), later) is not None:
             return "a demand is kept that nobody repeats"
         return None
