Make no offers without demand, and release capacity kept for a withdrawn one

Cause: a pass over the demands raised an error in the guard once the last demand had been withdrawn while its smallest need was still remembered, and capacity kept free for a large task stayed so for up to 0.1 s after its demand ended. Change: the order of no demands is empty, and kept capacity ends with the last demand.

--- a/hawthorntrack/coordination/scheduling/demand.py
+++ b/hawthorntrack/coordination/scheduling/demand.py
@@ -20,7 +20,6 @@
     speed_class,
 )
 from hawthorntrack.coordination.target_selection import (
-    SIMILAR_DURATION_SHARE,
     TargetCandidate,
     is_feasible,
     look_ahead_for,
@@ -399,7 +398,7 @@
         return (
             not has_room,
             longest_wait_ms(candidate),
-            speed_class(candidate) if has_room else 0,
+            speed_class(candidate.target_status.slowness) if has_room else 0,
             -candidate.free.cpu_m,
         )
 
@@ -509,12 +508,6 @@
     return list(chosen)
 
 
-def speed_class(candidate: TargetCandidate) -> int:
-    """Return a number that is equal for targets of about the same speed."""
-    slowness = candidate.target_status.slowness or 1.0
-    return round(math.log(slowness) / math.log(1 + SIMILAR_DURATION_SHARE))
-
-
 def longest_wait_ms(candidate: TargetCandidate) -> int:
     """Return the longest wait that a guard reports for any queue."""
     waits = candidate.target_status.queue_waits
--- a/hawthorntrack/coordination/scheduling/offers.py
+++ b/hawthorntrack/coordination/scheduling/offers.py
@@ -8,6 +8,7 @@
 from collections import Counter, defaultdict, deque
 from collections.abc import Callable, Iterable, Iterator
 from functools import reduce
+from itertools import chain
 from typing import NamedTuple
 
 from hawthorntrack.coordination.scheduling.lookahead import (
@@ -269,6 +270,8 @@
         for owner, queue in list(self.kept_since):
             if owner not in self.demands.get(queue, ()):
                 self.end_plan((owner, queue), kept=False, now=now)
+        if not self.demands:
+            self.kept = NO_RESOURCES
 
     def remove_demands(self, entry: str) -> None:
         """Remove all demands of an entry instance."""
@@ -459,8 +462,8 @@
         ordered = sorted(
             (virtual_time(q), self.priority_of(q), q) for q in self.demands
         )
-        following = [at for at, _, _ in ordered[1:]] + [float("inf")]
-        for (at, priority, queue), next_at in zip(ordered, following, strict=True):
+        following = chain((at for at, _, _ in ordered[1:]), (float("inf"),))
+        for (at, priority, queue), next_at in zip(ordered, following, strict=False):
             share_work = (next_at - at) * weight_of(priority)
             yield from (
                 (demand, share_work)
