--- a/hawthorntrack/coordination/dispatcher.py
+++ b/hawthorntrack/coordination/dispatcher.py
@@ -523,7 +523,7 @@
             for peer in self.available_peers(now):
                 self.place_if_useful(peer)
         self.review_links_if_due(now)
-        self.report_demand_if_due()
+        self.report_demand_at_tick(now)
         self.report_ready()
         self.report_drained()
 
--- a/hawthorntrack/coordination/room_requests.py
+++ b/hawthorntrack/coordination/room_requests.py
@@ -1,5 +1,6 @@
 """Base class of the dispatcher: asks guards for capacity that its tasks wait for."""
 
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -34,6 +35,7 @@
     OfferRoom,
     QueueDemand,
     ReportDemand,
+    RunsRefused,
 )
 from hawthorntrack.state.actor import handles
 from hawthorntrack.state.clock import Clock
@@ -52,6 +54,14 @@
 # A sixth of the time for which a guard keeps an offered capacity, and of the shortest
 # time that a job may wait (both 30 ms). A pass over 300 waiting jobs takes about 2 ms.
 MAX_PLACEMENT_DELAY_S = 0.005
+# Within one report interval, guards with free capacity have offered it. A task that
+# waits longer competes with others.
+UNCONTENDED_WAIT_S = MIN_REPORT_INTERVAL_S
+# Bursts and their retries come seconds apart. Between them, few tasks wait.
+CONTENTION_LINGER_S = 5.0
+# An instance that has just started does not know the load, and others may have started
+# with it. Guards are linked and known within a second.
+START_ALLOWANCE_S = 2.0
 # Shorter waits happen all the time on busy targets; the metrics count them.
 MIN_LOGGED_WAIT_S = 0.25
 
@@ -82,6 +92,8 @@
         The guards of these targets, by service.
     asking_since : float or None
         Time at which this instance began to report demand; None if none is reported.
+    contended_until : float
+        Until this time, in seconds, tasks start only in offered capacity.
     """
 
     def __init__(
@@ -107,6 +119,7 @@
         self.reviewed_tasks: dict[str, int] = {}
         self.asking_since: float | None = None
         self.pending_since: float | None = None
+        self.contended_until = clock() + START_ALLOWANCE_S
 
     # Changes of what waits
 
@@ -133,7 +146,7 @@
         While targets are set apart for suspects, which tasks these are may change with
         each message, so all jobs are considered again.
         """
-        keys = self.changed_jobs
+        now, keys = self.clock(), self.changed_jobs
         if self.quarantined:
             keys = keys | set(self.backlog.jobs) | set(self.waiting_jobs)
         for key in keys:
@@ -141,7 +154,7 @@
             tasks = [] if job is None else self.split_suspects(job)[0]
             if tasks and not job.process_suspended:
                 rank = self.queue_order.key(self.waiting_job(job))
-                self.backlog.put(job_demand(job, tasks, rank))
+                self.backlog.put(job_demand(job, tasks, rank), now)
             else:
                 self.backlog.discard(key)
         self.changed_jobs = set()
@@ -154,6 +167,39 @@
         if self.changed_jobs and self.mailbox.queue.empty():
             self.report_demand_if_due()
 
+    def place_waiting(self) -> None:
+        """Place waiting tasks, unless they have to ask for capacity first.
+
+        Explanation
+        -----------
+        Suspects run in isolation, which guards do not offer. While targets are set
+        apart for them, tasks are placed directly.
+        """
+        now = self.clock()
+        if self.share_room and now < self.contended_until:
+            self.end_unawaited_jobs(self.waiting_jobs.values())
+            self.prune_waiting_jobs()
+            self.update_quarantine(now)
+            if not self.quarantined:
+                self.least_waiting_cpu_m = math.inf
+                return
+        super().place_waiting()
+
+    @handles(RunsRefused)
+    def on_runs_refused(self, refused: RunsRefused, sender: Incarnation) -> None:
+        """Ask for capacity before each start, after one found none.
+
+        Explanation
+        -----------
+        Load pattern: ten entry instances on busy targets. A report of free capacity is
+        0.1 s old on average. All instances choose the target that seems emptiest, and
+        a third of their orders are refused even where all of it was reported as free.
+        To ask first takes a round trip of 1 to 3 ms.
+        """
+        if self.share_room and refused.reason == "no_room":
+            self.contended_until = self.clock() + CONTENTION_LINGER_S
+        super().on_runs_refused(refused, sender)
+
     def placement_is_due(self, now: float) -> bool:
         """Return whether waiting tasks are to be placed now.
 
@@ -184,29 +230,42 @@
         super().request_capacity_updates(jobs_waiting and not self.share_room)
 
     def report_demand_if_due(self) -> None:
-        """Send the due reports, at most once in `MIN_REPORT_INTERVAL_S`.
+        """Send the due reports if demand began, ended or doubled, or time has passed.
 
         Explanation
         -----------
-        Demand that begins, ends, or is twice as large is reported at once.
+        Load pattern: hundreds of jobs wait, and each message may change one. Smaller
+        changes wait for `MIN_REPORT_INTERVAL_S` or for the next tick.
         """
         if not self.share_room:
             return
         now = self.clock()
         self.update_backlog()
-        tasks = self.backlog.tasks()
-        if not tasks and not self.reports.reports:
-            return
-        waited = now - self.reviewed_at >= MIN_REPORT_INTERVAL_S
-        begun_or_ended = tasks.keys() != self.reviewed_tasks.keys()
-        if waited or begun_or_ended or is_twice_as_large(tasks, self.reviewed_tasks):
-            self.reviewed_at, self.reviewed_tasks = now, tasks
+        tasks, before = self.backlog.tasks(), self.reviewed_tasks
+        if (
+            tasks.keys() != before.keys()
+            or is_twice_as_large(tasks, before)
+            or now - self.reviewed_at >= MIN_REPORT_INTERVAL_S
+        ):
+            self.report_demand(now)
+
+    def report_demand_at_tick(self, now: float) -> None:
+        """Send the reports that time has made due."""
+        if self.share_room:
+            self.update_backlog()
             self.report_demand(now)
 
     def report_demand(self, now: float) -> None:
         """Tell guards of new or changed demand, and of demand that has ended."""
+        self.reviewed_at, self.reviewed_tasks = now, self.backlog.tasks()
+        if not self.reviewed_tasks and not self.reports.reports:
+            return
         view = self.view_demand(now)
-        asked = guards_to_ask(view, self.reports.reports)
+        waits_briefly = self.backlog.longest_wait_s(now) < UNCONTENDED_WAIT_S
+        if not waits_briefly:
+            self.contended_until = now + CONTENTION_LINGER_S
+            self.working_set.note_shortage()
+        asked = guards_to_ask(view, self.reports.reports, waits_briefly)
         wanted = divide_work({address: view.at(address) for address in asked})
         for address, demands in self.reports.due(wanted, now).items():
             labelled(DEMANDS_SENT, "new" if demands else "withdrawn").inc()
--- a/hawthorntrack/coordination/scheduling/demand.py
+++ b/hawthorntrack/coordination/scheduling/demand.py
@@ -6,6 +6,7 @@
 offers its free capacity to one of them.
 """
 
+import math
 from collections import Counter, defaultdict
 from collections.abc import Collection, Iterable, Mapping, Sequence
 from operator import attrgetter
@@ -13,7 +14,12 @@
 
 from hawthorntrack.coordination.job_progress import PLACED, Job, Task
 from hawthorntrack.coordination.queueing import slowness_limit
-from hawthorntrack.coordination.target_selection import TargetCandidate, is_feasible
+from hawthorntrack.coordination.target_selection import (
+    SIMILAR_DURATION_SHARE,
+    TargetCandidate,
+    is_feasible,
+    room_for,
+)
 from hawthorntrack.protocol.run_messages import (
     MAX_DEMANDS,
     MAX_QUEUE_NAME_LENGTH,
@@ -140,12 +146,15 @@
 
     def __init__(self) -> None:
         self.jobs: dict[str, JobDemand] = {}
+        self.since: dict[str, float] = {}
         self.ordered: dict[str, list[JobDemand]] = {}
         self.counts: Counter[str] = Counter()
 
-    def put(self, demand: JobDemand) -> None:
+    def put(self, demand: JobDemand, now: float) -> None:
         """Add a job, or replace what is known of it."""
+        since = self.since.get(demand.job, now)
         self.discard(demand.job)
+        self.since[demand.job] = since
         self.jobs[demand.job] = demand
         self.ordered.pop(demand.queue, None)
         self.counts[demand.queue] += sum(group.count for group in demand.groups)
@@ -153,15 +162,14 @@
     def discard(self, job: str) -> None:
         """Remove a job, if it is there."""
         demand = self.jobs.pop(job, None)
+        self.since.pop(job, None)
         if demand is not None:
             self.ordered.pop(demand.queue, None)
             self.counts[demand.queue] -= sum(group.count for group in demand.groups)
 
-    def clear(self) -> None:
-        """Remove all jobs."""
-        self.jobs.clear()
-        self.ordered.clear()
-        self.counts.clear()
+    def longest_wait_s(self, now: float) -> float:
+        """Return the longest time for which a job has been in the backlog."""
+        return now - min(self.since.values(), default=now)
 
     def tasks(self) -> dict[str, int]:
         """Return the number of waiting tasks of each queue that has any."""
@@ -337,6 +345,43 @@
             )
         return self.by_kind[kind]
 
+    def preference(self, address: str) -> tuple:
+        """Return the sort key of a guard among those that could be asked.
+
+        Explanation
+        -----------
+        Of guards with free capacity, those with faster targets come first.
+        """
+        candidate = self.candidates[address]
+        has_room = self.has_room(address)
+        return (
+            not has_room,
+            longest_wait_ms(candidate),
+            speed_class(candidate) if has_room else 0,
+            -candidate.free.cpu_m,
+        )
+
+    def has_room(self, address: str) -> bool:
+        """Return whether a guard reports free capacity for the smallest task."""
+        free = self.candidates[address].free
+        return any(
+            demand.smallest.to_resources().fits_in(free) for demand in self.at(address)
+        )
+
+    def sufficient(self, guards: Sequence[str], tasks: int) -> int:
+        """Return how many of the guards, at least four, have capacity for tasks."""
+        for number, address in enumerate(guards):
+            if number >= MIN_GUARDS_TO_ASK and tasks <= 0:
+                return number
+            tasks -= self.room_at(address)
+        return len(guards)
+
+    def room_at(self, address: str) -> int:
+        """Return how many tasks of the oldest job fit into a guard's free capacity."""
+        candidate = self.candidates[address]
+        needs = [demand.first.to_resources() for demand in self.at(address)]
+        return max((room_for(candidate, need) for need in needs), default=0)
+
     def groups(self) -> dict[tuple[str, ...], int]:
         """Return the number of tasks by the guards at which they could start."""
         kinds: dict[tuple, list[TargetCandidate]] = defaultdict(list)
@@ -379,7 +424,9 @@
     )
 
 
-def guards_to_ask(view: DemandView, asked: Iterable[str]) -> list[str]:
+def guards_to_ask(
+    view: DemandView, asked: Iterable[str], waits_briefly: bool
+) -> list[str]:
     """Return the guards to which demand is reported.
 
     Explanation
@@ -387,7 +434,8 @@
     For each set of tasks that could start at the same guards, these are twice as many
     guards as tasks, at least four. Guards that were asked before are kept, so that the
     places of the tasks in the guards' orders are not lost. The others are chosen by the
-    shortest reported wait, then by the most free capacity.
+    shortest reported wait, then by speed and free capacity. While tasks wait at guards
+    without free capacity, guards that report some are asked as well.
 
     Parameters
     ----------
@@ -395,26 +443,36 @@
         What waits, and the targets that accept runs.
     asked : iterable of str
         Guards to which demand is reported at present.
+    waits_briefly : bool
+        Whether the tasks began to wait just now. They then ask no more guards than have
+        twice the capacity for them by their reports, so that slow targets do not get
+        tasks while fast ones have free capacity.
     """
     kept = {address for address in asked if address in view.candidates}
-    chosen: dict[str, None] = {}
+    chosen: dict[str, None] = dict.fromkeys(kept)
     for guards, tasks in view.groups().items():
         number = max(MIN_GUARDS_TO_ASK, GUARDS_PER_TASK * tasks)
-        if number < len(guards):
-            preferred = sorted(
-                guards,
-                key=lambda address: (
-                    address not in kept,
-                    longest_wait_ms(view.candidates[address]),
-                    -view.candidates[address].free.cpu_m,
-                ),
-            )
-            kept_here = sum(address in kept for address in guards)
-            guards = preferred[: max(number, kept_here)]
-        chosen.update(dict.fromkeys(guards))
+        missing = max(0, number - sum(address in kept for address in guards))
+        others = sorted(
+            (address for address in guards if address not in kept), key=view.preference
+        )
+        wanted = others[:missing]
+        if waits_briefly:
+            wanted = wanted[: view.sufficient(wanted, GUARDS_PER_TASK * tasks)]
+        else:
+            wanted += [
+                address for address in others[missing:number] if view.has_room(address)
+            ]
+        chosen.update(dict.fromkeys(wanted))
     return list(chosen)
 
 
+def speed_class(candidate: TargetCandidate) -> int:
+    """Return a number that is equal for targets of about the same speed."""
+    slowness = candidate.target_status.slowness or 1.0
+    return round(math.log(slowness) / math.log(1 + SIMILAR_DURATION_SHARE))
+
+
 def longest_wait_ms(candidate: TargetCandidate) -> int:
     """Return the longest wait that a guard reports for any queue."""
     waits = candidate.target_status.queue_waits
