--- a/hawthorntrack/coordination/scheduling/demand.py
+++ b/hawthorntrack/coordination/scheduling/demand.py
@@ -508,6 +508,12 @@
     return list(chosen)
 
 
+def speed_class(candidate: TargetCandidate) -> int:
+    """Return a number that is equal for targets of about the same speed."""
+    slowness = candidate.target_status.slowness or 1.0
+    return round(math.log(slowness) / math.log(1 + SIMILAR_DURATION_SHARE))
+
+
 def longest_wait_ms(candidate: TargetCandidate) -> int:
     """Return the longest wait that a guard reports for any queue."""
     waits = candidate.target_status.queue_waits
