--- a/hawthorntrack/coordination/scheduling/offers.py
+++ b/hawthorntrack/coordination/scheduling/offers.py
@@ -421,7 +421,7 @@
         """
         self.kept = NO_RESOURCES
         full = len(self.open_offers) >= MAX_OPEN_OFFERS
-        if full or not self.least_need or not self.least_need.fits_in(room.free):
+        if full or not self.demands or not self.least_need.fits_in(room.free):
             return None
         plan: BackfillPlan | None = None
         for position, (demand, share_work) in enumerate(self.in_order()):
--- a/hawthorntrack/coordination/scheduling/tests/test_lookahead.py
+++ b/hawthorntrack/coordination/scheduling/tests/test_lookahead.py
@@ -16,6 +16,8 @@
     backfill_limit_ms,
     backfill_plan,
 )
+from hawthorntrack.coordination.scheduling.offers import OfferBook
+from hawthorntrack.protocol.run_messages import BoundedResources, QueueDemand
 from hawthorntrack.state.resources import Resources
 
 CAPACITY = Resources(32_000)
@@ -107,3 +109,11 @@
     assert (plan is not None) == planned
     if plan is not None:
         assert (plan.at, plan.spare.cpu_m) == (now + ends_in_s[-1], 800)
+
+
+def test_withdrawn_demand_leaves_no_offer_to_be_made():
+    """A guard failed on free capacity after the last demand was withdrawn."""
+    book, need = OfferBook(), BoundedResources(3_600)
+    book.report("a:1", [QueueDemand("q", 0, 0, 1, need, need, 120, 120, 400)], 10.0)
+    book.report("a:1", [], 10.1)
+    assert book.next_offer(RoomView(CAPACITY), 10.1) is None
