View the best jobs of each queue only, and take a new target as fast as the fastest of its kind

Change: a view takes 16 jobs a queue and scales their demand to all; views are at least 10 ms apart; an answer to an offer brings the last report up to date. New targets count as fast as the fastest of their kind.

--- a/hawthorntrack/coordination/room_requests.py
+++ b/hawthorntrack/coordination/room_requests.py
@@ -8,16 +8,17 @@
 from hawthorntrack.coordination.job_progress import Job, Task
 from hawthorntrack.coordination.look_ahead_placement import LookAheadPlacement
 from hawthorntrack.coordination.scheduling.demand import (
+    MAX_VIEWED_JOBS,
     MIN_REPORT_INTERVAL_S,
     Backlog,
     DemandReports,
     DemandView,
     JobDemand,
-    demands_for,
     divide_work,
     guards_to_ask,
     is_twice_as_large,
     job_demand,
+    scale_to_backlog,
     startable,
     tasks_that_fit,
     without_vain_exclusions,
@@ -55,6 +56,9 @@
 # A sixth of the time for which a guard keeps an offered capacity, and of the shortest
 # time that a job may wait (both 30 ms).
 MAX_PLACEMENT_DELAY_S = 0.005
+# A view of the demand takes a millisecond or two of an entry instance's processor, so
+# under overload it may take a fifth of it.
+MIN_REVIEW_INTERVAL_S = 0.01
 # Within one report interval, guards with free capacity have offered it. A task that
 # waits longer competes with others.
 UNCONTENDED_WAIT_S = MIN_REPORT_INTERVAL_S
@@ -246,16 +250,16 @@
         now = self.clock()
         self.update_backlog()
         tasks, before = self.backlog.tasks(), self.reviewed_tasks
-        if (
-            tasks.keys() != before.keys()
-            or is_twice_as_large(tasks, before)
-            or now - self.reviewed_at >= MIN_REPORT_INTERVAL_S
+        elapsed_s = now - self.reviewed_at
+        if elapsed_s >= MIN_REPORT_INTERVAL_S or (
+            (elapsed_s >= MIN_REVIEW_INTERVAL_S or not tasks or not before)
+            and (tasks.keys() != before.keys() or is_twice_as_large(tasks, before))
         ):
             self.report_demand(now)
 
     def report_demand_at_tick(self, now: float) -> None:
         """Send the reports that time has made due."""
-        if self.share_room:
+        if self.share_room and now - self.reviewed_at >= MIN_REVIEW_INTERVAL_S:
             self.update_backlog()
             self.report_demand(now)
 
@@ -270,7 +274,10 @@
             self.contended_until = now + CONTENTION_LINGER_S
             self.working_set.note_shortage()
         asked = guards_to_ask(view, self.reports.reports, waits_briefly)
-        wanted = divide_work({address: view.at(address) for address in asked})
+        factors = self.backlog.tasks_per_viewed_task()
+        wanted = divide_work(
+            {address: scale_to_backlog(view.at(address), factors) for address in asked}
+        )
         for address, demands in self.reports.due(wanted, now).items():
             labelled(DEMANDS_SENT, "new" if demands else "withdrawn").inc()
             self.reports.record(address, demands, now)
@@ -287,7 +294,7 @@
             for candidate in placement.candidates.values()
             if candidate.address not in self.set_apart(candidate.target_status.service)
         )
-        jobs = self.backlog.jobs.values()
+        jobs = self.backlog.viewed_jobs()
         view = DemandView(jobs, candidates, placement.median_slowness, now)
         self.median_slowness, self.guards = view.median_slowness, view.guards
         self.outlook = view.outlook
@@ -332,7 +339,10 @@
                 candidate = self.offering_candidate(peer, now)
                 if candidate is not None:
                     started = self.start_in_offer(candidate, offer, now)
-                remaining = self.remaining_demand(peer, now)
+                    self.update_backlog()
+                    remaining = self.remaining_demand(peer.address, now)
+                else:
+                    remaining = ()
                 self.reports.record(peer.address, remaining, now)
         labelled(OFFERS_ANSWERED, "used" if started else "unused").inc()
         OFFERED_STARTS.inc(started)
@@ -349,18 +359,23 @@
             return None
         return peer.to_candidate()._replace(target_status=self.speeds.assume(status))
 
-    def remaining_demand(self, peer: GuardPeer, now: float) -> tuple[QueueDemand, ...]:
-        """Return the demand at a guard after an offer of it was used."""
-        self.update_backlog()
-        candidate = self.offering_candidate(peer, now)
-        if candidate is None:
-            return ()
-        jobs = map(self.with_allowed_guards, self.backlog.jobs.values())
-        demands = demands_for(jobs, candidate, self.median_slowness, now, self.outlook)
-        guards = max(1, len(self.reports.reports))
+    def remaining_demand(self, guard: str, now: float) -> tuple[QueueDemand, ...]:
+        """Return the demand at a guard after an offer of it was answered.
+
+        Explanation
+        -----------
+        Load pattern: an instance answers hundreds of offers a second. The demand is the
+        last reported one with the number and the wait of the tasks brought up to date,
+        since a new view takes a millisecond; the next report corrects it.
+        """
+        tasks = self.backlog.tasks()
         return tuple(
-            demand._replace(work_ms=round(demand.work_ms / guards))
-            for demand in demands
+            demand._replace(
+                tasks=tasks[demand.queue],
+                waited_ms=self.backlog.wait_of_best_ms(demand.queue, now),
+            )
+            for demand in self.reports.reported(guard)
+            if demand.queue in tasks
         )
 
     def with_allowed_guards(self, demand: JobDemand) -> JobDemand:
@@ -409,7 +424,7 @@
     ) -> None:
         """Place the best tasks of one queue that fit into what is left of an offer."""
         least_cpu_m = self.backlog.least_cpu_m(queue)
-        for demand in self.backlog.in_order(queue):
+        for demand in self.backlog.in_order(queue)[:MAX_VIEWED_JOBS]:
             free = placement.candidates[candidate.address].free
             if free.cpu_m < least_cpu_m:
                 return
--- a/hawthorntrack/coordination/scheduling/demand.py
+++ b/hawthorntrack/coordination/scheduling/demand.py
@@ -50,6 +50,9 @@
 # Offers cover at most 4 tasks and each is followed by a new report, so the exact number
 # of more tasks than these does not matter to the guard.
 TASKS_CHANGE_FACTOR = 2
+# The best jobs of each queue are viewed one by one. They have more tasks than guards
+# offer capacity for until the next report; the others count by their number.
+MAX_VIEWED_JOBS = 16
 # Needs vary by 20% among the tasks of one kind; smaller changes are no news.
 NEED_CHANGE_FACTOR = 1.25
 
@@ -217,12 +220,37 @@
             )
         return self.ordered[queue]
 
+    def viewed_jobs(self) -> list[JobDemand]:
+        """Return the best jobs of each queue, which stand for all of them."""
+        return [
+            demand
+            for queue in self.tasks()
+            for demand in self.in_order(queue)[:MAX_VIEWED_JOBS]
+        ]
+
+    def tasks_per_viewed_task(self) -> dict[str, float]:
+        """Return, for each queue, its waiting tasks for each task of a viewed job."""
+        return {
+            queue: count
+            / sum(
+                group.count
+                for demand in self.in_order(queue)[:MAX_VIEWED_JOBS]
+                for group in demand.groups
+            )
+            for queue, count in self.tasks().items()
+        }
+
+    def wait_of_best_ms(self, queue: str, now: float) -> int:
+        """Return how long the best job of a queue has waited, in milliseconds."""
+        jobs = self.in_order(queue)
+        return max(0, round((now - jobs[0].arrived) * 1000)) if jobs else 0
+
     def least_cpu_m(self, queue: str) -> int:
         """Return the smallest processor need in a queue; 0 if it is empty."""
         return min(
             (
                 group.step.need.cpu_m
-                for demand in self.in_order(queue)
+                for demand in self.in_order(queue)[:MAX_VIEWED_JOBS]
                 for group in demand.groups
             ),
             default=0,
@@ -299,6 +327,19 @@
     )
 
 
+def scale_to_backlog(
+    demands: Iterable[QueueDemand], factors: Mapping[str, float]
+) -> tuple[QueueDemand, ...]:
+    """Scale the demand of the viewed jobs to that of all jobs of their queues."""
+    return tuple(
+        demand._replace(
+            tasks=round(demand.tasks * factors[demand.queue]),
+            work_ms=round(demand.work_ms * factors[demand.queue]),
+        )
+        for demand in demands
+    )
+
+
 def divide_work(
     demands: Mapping[str, tuple[QueueDemand, ...]],
 ) -> dict[str, tuple[QueueDemand, ...]]:
--- a/hawthorntrack/coordination/scheduling/speeds.py
+++ b/hawthorntrack/coordination/scheduling/speeds.py
@@ -6,7 +6,6 @@
 
 from collections import defaultdict
 from collections.abc import Iterable
-from statistics import fmean
 
 from hawthorntrack.protocol.run_messages import TargetStatus
 
@@ -22,14 +21,15 @@
 
 
 class KindSpeeds:
-    """Mean slowness of the measured targets of each service and kind.
+    """Lowest slowness of the measured targets of each service and kind.
 
     Explanation
     -----------
-    A kind keeps its mean while none of its targets is measured, for instance when all
-    of them are replaced. A kind that was never measured counts as fast as the fastest
-    measured target: if it counted as slower, its targets would get tasks only once all
-    measured ones are full, and would not be measured.
+    A new target counts as fast as the fastest of its kind, and one of an unknown kind
+    as fast as the fastest of all. If it counted as slower, as by the mean of a kind
+    whose targets differ, it would get tasks only once the faster ones are full. A kind
+    keeps its value while none of its targets is measured, for instance when all of them
+    are replaced.
 
     Examples
     --------
@@ -41,18 +41,18 @@
     """
 
     def __init__(self) -> None:
-        self.mean_slowness: dict[tuple[str, str], float] = {}
+        self.slowness_by_kind: dict[tuple[str, str], float] = {}
         self.lowest_slowness = NOMINAL_SLOWNESS
 
     def update(self, statuses: Iterable[TargetStatus]) -> None:
-        """Update the means with the newest reports of the working set."""
+        """Update the values with the newest reports of the working set."""
         measured = defaultdict(list)
         for status in statuses:
             if status.slowness:
                 measured[kind_of(status)].append(status.slowness)
         for kind, values in measured.items():
-            if kind in self.mean_slowness or len(self.mean_slowness) < MAX_KINDS:
-                self.mean_slowness[kind] = fmean(values)
+            if kind in self.slowness_by_kind or len(self.slowness_by_kind) < MAX_KINDS:
+                self.slowness_by_kind[kind] = min(values)
         if measured:
             self.lowest_slowness = min(map(min, measured.values()))
 
@@ -60,5 +60,5 @@
         """Return a status, with the slowness of its kind if it has none measured."""
         if status.slowness:
             return status
-        slowness = self.mean_slowness.get(kind_of(status), self.lowest_slowness)
+        slowness = self.slowness_by_kind.get(kind_of(status), self.lowest_slowness)
         return status._replace(slowness=slowness)
