Mend what a review of the offers, the demand and the admission found

Change: timers carry their time and an overtaken one is ignored; amounts are bounded where they are sent and received; a job that would be refused next is placed directly; the outlook uses the expected free capacity of feasible targets only; a wait is limited by the caller's deadline as well.

--- a/hawthorntrack/coordination/job_admission.py
+++ b/hawthorntrack/coordination/job_admission.py
@@ -154,7 +154,8 @@
         if not self.share_room:
             return None
         expected_s = self.expected_wait_s(queue.name, now)
-        if not expected_s:
+        waiting = self.count_unstarted(queue.name)
+        if not expected_s or not waiting:
             return None
         peers = [
             peer
@@ -163,13 +164,16 @@
         ]
         steps = [step for step in submission.plan.steps if not step.depends_on]
         expected_s += now - submission.arrived_at
+        arriving = arriving_job(submission.plan.steps, queue, peers)
         refusal = admission_refusal(
-            arriving_job(submission.plan.steps, queue, peers),
-            any(self.has_room(peer, step) for peer in peers for step in steps),
-            self.count_unstarted(queue.name),
+            arriving._replace(deadline_s=submission.deadline_s),
+            False,
+            waiting,
             expected_s,
         )
-        if refusal is None:
+        if refusal is None or any(
+            self.has_room(peer, step) for peer in peers for step in steps
+        ):
             return None
         labelled(ARRIVAL_REFUSALS, queue.name, refusal.reason).inc()
         ages_s = [now - peer.heartbeat_at for peer in peers]
--- a/hawthorntrack/coordination/leaseholder.py
+++ b/hawthorntrack/coordination/leaseholder.py
@@ -304,7 +304,7 @@
             self.start_run(session, run_order, order, sender.address, now)
             if run_order.name.task in session.runs:
                 free = free.minus(run_order.need)
-                self.charge_start(run_order, order.queue)
+                self.charge_start(run_order, order)
                 accepted.append(run_order.name)
         if accepted:
             log_event(
--- a/hawthorntrack/coordination/room_offering.py
+++ b/hawthorntrack/coordination/room_offering.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable, Iterable
-from typing import Any
+from typing import Any, NamedTuple
 
 from hawthorntrack.coordination.run_estimates import RunEstimates
 from hawthorntrack.coordination.scheduling.lookahead import (
@@ -43,15 +43,23 @@
     labelled,
 )
 from hawthorntrack.state.resources import NO_RESOURCES, Resources
-from hawthorntrack.state.values import NO_INCARNATION, Incarnation
+from hawthorntrack.state.values import Incarnation
 
 # Shortest time until the offers are reviewed again, so that a timer that fires just
 # before an offer expires is not set again without a pause.
 MIN_REVIEW_DELAY_S = 0.001
 
 
-class ReviewOffers:
-    """Message of the lease holder to itself: an offer has expired or a pause ended."""
+class ReviewOffers(NamedTuple):
+    """Message of the lease holder to itself: an offer has expired or a pause ended.
+
+    Attributes
+    ----------
+    at : float
+        Time at which it was due; one that an earlier review replaced is ignored.
+    """
+
+    at: float
 
 
 class RoomOffering(RunEstimates):
@@ -126,7 +134,7 @@
         if now >= self.review_at:
             # The timer's message may be late, behind an order that names the offer.
             self.record_ended(self.offers.expire(now), "expired")
-            self.on_review_offers(ReviewOffers(), NO_INCARNATION)
+            self.room_changed = True
         super().handle(message)
         # Ticks cover the changes that no message reports, such as the end of a pause.
         self.room_changed |= isinstance(message, TargetHeartbeat | Tick)
@@ -197,13 +205,14 @@
         at = max(self.offers.next_change_at(), now + MIN_REVIEW_DELAY_S)
         if at < self.review_at:
             self.review_at = at
-            self.post_later(at - now, ReviewOffers())
+            self.post_later(at - now, ReviewOffers(at))
 
     @handles(ReviewOffers)
     def on_review_offers(self, message: ReviewOffers, sender: Incarnation) -> None:
         """Have outdated offers expire and their capacity offered again."""
-        self.review_at = float("inf")
-        self.room_changed = True
+        if message.at == self.review_at:
+            self.review_at = float("inf")
+            self.room_changed = True
 
     @handles(ReportDemand)
     def on_report_demand(self, report: ReportDemand, sender: Incarnation) -> None:
@@ -268,9 +277,17 @@
         reserved = self.offers.reserved
         return reserved == NO_RESOURCES or need.fits_in(free.minus(reserved))
 
-    def charge_start(self, order: RunOrder, queue: str) -> None:
-        """Charge a started run to its queue's share."""
-        if self.share_room and queue:
-            work = order.need.cpu_m / 1000 * order.estimate_ms / 1000
+    def charge_start(self, order: RunOrder, batch: StartRuns) -> None:
+        """Charge a started run to its queue's share.
+
+        Explanation
+        -----------
+        No run lasts longer than its caller waits, whatever run time is declared. A
+        queue whose priority was never reported here has had no demand to compete with.
+        """
+        queue = batch.queue
+        if self.share_room and queue in self.offers.priorities:
+            run_ms = min(order.estimate_ms, batch.remaining_ms)
+            work = order.need.cpu_m / 1000 * run_ms / 1000
             priority = self.offers.priority_of(queue)
             self.offers.charge(queue, priority, work, self.clock())
--- a/hawthorntrack/coordination/room_requests.py
+++ b/hawthorntrack/coordination/room_requests.py
@@ -14,6 +14,7 @@
     DemandReports,
     DemandView,
     JobDemand,
+    bounded_count,
     divide_work,
     guards_to_ask,
     is_twice_as_large,
@@ -28,7 +29,10 @@
     NOMINAL_SLOWNESS,
     PlacementPass,
 )
-from hawthorntrack.coordination.target_selection import TargetCandidate
+from hawthorntrack.coordination.target_selection import (
+    LAST_CHANCE_S,
+    TargetCandidate,
+)
 from hawthorntrack.coordination.working_set import WorkingSet
 from hawthorntrack.protocol.links import LinkDown
 from hawthorntrack.protocol.run_messages import (
@@ -66,7 +70,7 @@
 CONTENTION_LINGER_S = 5.0
 # An instance that has just started does not know the load, and others may have started
 # with it. Guards are linked and known within a second.
-START_ALLOWANCE_S = 2.0
+STARTUP_CONTENTION_S = 2.0
 # Shorter waits happen all the time on busy targets; the metrics count them.
 MIN_LOGGED_WAIT_S = 0.25
 
@@ -127,7 +131,7 @@
         self.reviewed_tasks: dict[str, int] = {}
         self.asking_since: float | None = None
         self.pending_since: float | None = None
-        self.contended_until = clock() + START_ALLOWANCE_S
+        self.contended_until = clock() + STARTUP_CONTENTION_S
 
     # Changes of what waits
 
@@ -183,15 +187,35 @@
         Suspects run in isolation, which guards do not offer. While targets are set
         apart for them, tasks are placed directly.
         """
-        now = self.clock()
-        if self.share_room and now < self.contended_until:
-            self.end_unawaited_jobs(self.waiting_jobs.values())
-            self.prune_waiting_jobs()
-            self.update_quarantine(now)
-            if not self.quarantined:
-                self.least_waiting_cpu_m = math.inf
-                return
         super().place_waiting()
+        if self.must_ask(self.clock()):
+            self.least_waiting_cpu_m = math.inf
+
+    def must_ask(self, now: float) -> bool:
+        """Return whether tasks have to ask for capacity before they start."""
+        return self.share_room and now < self.contended_until and not self.quarantined
+
+    def placeable_jobs(self, now: float) -> list[Job]:
+        """Return the waiting jobs whose tasks may be placed without an offer.
+
+        Explanation
+        -----------
+        These are all jobs, or those that would be refused next: offers and reports of
+        demand may have been lost.
+        """
+        jobs = super().placeable_jobs(now)
+        if not self.must_ask(now):
+            return jobs
+        return list(filter(self.is_last_chance(now), jobs))
+
+    def is_last_chance(self, now: float) -> Callable[[Job], bool]:
+        """Return a function that tells whether a job is about to be refused."""
+        limit = now + LAST_CHANCE_S
+        return lambda job: not job.begun and job.placement_deadline_at < limit
+
+    def refusal_is_near(self, now: float) -> bool:
+        """Return whether a waiting job is about to be refused for its wait."""
+        return any(map(self.is_last_chance(now), self.waiting_jobs.values()))
 
     @handles(RunsRefused)
     def on_runs_refused(self, refused: RunsRefused, sender: Incarnation) -> None:
@@ -262,11 +286,13 @@
         if self.share_room and now - self.reviewed_at >= MIN_REVIEW_INTERVAL_S:
             self.update_backlog()
             self.report_demand(now)
+            self.placement_pending |= self.refusal_is_near(now)
 
     def report_demand(self, now: float) -> None:
         """Tell guards of new or changed demand, and of demand that has ended."""
         self.reviewed_at, self.reviewed_tasks = now, self.backlog.tasks()
         if not self.reviewed_tasks and not self.reports.reports:
+            self.log_waits(now)
             return
         view = self.view_demand(now)
         waits_briefly = self.backlog.longest_wait_s(now) < UNCONTENDED_WAIT_S
@@ -372,7 +398,10 @@
         return tuple(
             demand._replace(
                 tasks=tasks[demand.queue],
-                waited_ms=self.backlog.wait_of_best_ms(demand.queue, now),
+                waited_ms=self.backlog.oldest_wait_ms(demand.queue, now),
+                work_ms=bounded_count(
+                    demand.work_ms * tasks[demand.queue] / max(1, demand.tasks)
+                ),
             )
             for demand in self.reports.reported(guard)
             if demand.queue in tasks
--- a/hawthorntrack/coordination/run_placement.py
+++ b/hawthorntrack/coordination/run_placement.py
@@ -143,13 +143,10 @@
         self.prune_waiting_jobs()
         self.least_waiting_cpu_m = 0
         queues: dict[str, list[Job]] = defaultdict(list)
-        for job in self.waiting_jobs.values():
-            if not job.process_suspended:
-                queues[job.queue.name if self.queue_order.fair_shares else ""].append(
-                    job
-                )
         now = self.clock()
         self.update_quarantine(now)
+        for job in self.placeable_jobs(now):
+            queues[job.queue.name if self.queue_order.fair_shares else ""].append(job)
         candidates = self.candidates(now) if queues else []
         if not candidates:
             self.request_capacity_updates(bool(queues))
@@ -181,6 +178,10 @@
             self.working_set.note_shortage()
         self.request_capacity_updates(bool(self.waiting_jobs))
 
+    def placeable_jobs(self, now: float) -> list[Job]:
+        """Return the waiting jobs whose tasks may be placed."""
+        return [job for job in self.waiting_jobs.values() if not job.process_suspended]
+
     def candidates(self, now: float) -> list[TargetCandidate]:
         """Return the targets that accept runs and whose capacity is certain."""
         return [
@@ -296,7 +297,10 @@
         set_apart = self.set_apart(job.queue.service)
         self.place_suspects(job, suspects, placement)
         max_slowness = self.max_slowness(job, placement.median_slowness, now)
+        awaiting: set[int] = set()
         for task in self.placement_order(unsuspected):
+            if task.name.step in awaiting:
+                continue
             wanted = task.step, job.queue.service, set_apart, task.avoid, max_slowness
             look_ahead = self.look_ahead(job, task, now)
             candidate = placement.choose(*wanted, look_ahead)
@@ -304,9 +308,11 @@
                 if look_ahead is None or placement.choose(*wanted) is None:
                     return False
                 self.note_awaited_target(job, task)
-                return True
+                awaiting.add(task.name.step)
+                continue
             self.place_task(job, task, candidate, placement)
-        labelled(WAIT_SECONDS, job.queue.name).observe(now - job.arrived)
+        if not awaiting:
+            labelled(WAIT_SECONDS, job.queue.name).observe(now - job.arrived)
         return True
 
     def max_slowness(self, job: Job, median_slowness: float, now: float) -> float:
@@ -363,7 +369,9 @@
         job.begun = True
         peer.runs[task.name] = task.run
         peer.unreported[task.run] = task.step.need
-        work = task.step.need.cpu_m / 1000 * task.step.estimate_s
+        # No run lasts longer than its caller waits, whatever run time is declared.
+        run_s = min(task.step.estimate_s, job.deadline_at - job.arrived)
+        work = task.step.need.cpu_m / 1000 * run_s
         if self.share_room:
             self.shares.charge(job.queue.name, job.queue.priority, work)
         else:
--- a/hawthorntrack/coordination/scheduling/demand.py
+++ b/hawthorntrack/coordination/scheduling/demand.py
@@ -19,6 +19,7 @@
     TargetOutlook,
     speed_class,
 )
+from hawthorntrack.coordination.scheduling.shares import bounded_priority
 from hawthorntrack.coordination.target_selection import (
     TargetCandidate,
     is_feasible,
@@ -29,6 +30,7 @@
 from hawthorntrack.protocol.run_messages import (
     MAX_DEMANDS,
     MAX_QUEUE_NAME_LENGTH,
+    MAX_SAFE_INTEGER,
     BoundedResources,
     QueueDemand,
 )
@@ -67,12 +69,15 @@
         per target is reached.
     path_after_s : float
         Declared run time along the longest chain of steps after the step, in seconds.
+    full : frozenset of str
+        Those of the excluded guards where the limit is reached.
     """
 
     step: StepSpec
     count: int
     excluded: frozenset[str]
     path_after_s: float = 0.0
+    full: frozenset[str] = frozenset()
 
 
 class JobDemand(NamedTuple):
@@ -117,7 +122,7 @@
             group.path_after_s,
         )
         return outlook.is_worth_using(
-            self.service, slowness, group.step.estimate_s, look_ahead
+            self.service, slowness, group.step, group.excluded, look_ahead
         )
 
 
@@ -150,7 +155,8 @@
     groups = Counter(
         (
             task.step,
-            task.avoid | full.get(task.name.step, frozenset()),
+            task.avoid,
+            full.get(task.name.step, frozenset()),
             after_s[task.name.step],
         )
         for task in tasks
@@ -164,8 +170,8 @@
         job.arrived,
         0.0 if job.begun else job.placement_deadline_at - job.arrived,
         tuple(
-            TaskGroup(step, count, excluded, path_after_s)
-            for (step, excluded, path_after_s), count in groups.items()
+            TaskGroup(step, count, avoid | full_guards, path_after_s, full_guards)
+            for (step, avoid, full_guards, path_after_s), count in groups.items()
         ),
         job.arrived + job.objective,
     )
@@ -240,10 +246,11 @@
             for queue, count in self.tasks().items()
         }
 
-    def wait_of_best_ms(self, queue: str, now: float) -> int:
-        """Return how long the best job of a queue has waited, in milliseconds."""
-        jobs = self.in_order(queue)
-        return max(0, round((now - jobs[0].arrived) * 1000)) if jobs else 0
+    def oldest_wait_ms(self, queue: str, now: float) -> int:
+        """Return how long the oldest viewed job of a queue has waited, in ms."""
+        jobs = self.in_order(queue)[:MAX_VIEWED_JOBS]
+        oldest = min((demand.arrived for demand in jobs), default=now)
+        return bounded_count((now - oldest) * 1000)
 
     def least_cpu_m(self, queue: str) -> int:
         """Return the smallest processor need in a queue; 0 if it is empty."""
@@ -316,25 +323,41 @@
     )
     return QueueDemand(
         queue,
-        oldest.priority,
-        max(0, round((now - oldest.arrived) * 1000)),
+        bounded_priority(oldest.priority),
+        bounded_count((now - oldest.arrived) * 1000),
         sum(group.count for _, group in waiting),
         BoundedResources(*map(min, zip(*needs, strict=True))),
         BoundedResources(*first.step.need),
-        round(first.step.estimate_s * 1000),
-        round(min(estimates_s) * 1000),
-        round(work_ms),
+        bounded_count(first.step.estimate_s * 1000),
+        bounded_count(min(estimates_s) * 1000),
+        bounded_count(work_ms),
     )
 
 
+def bounded_count(amount: float) -> int:
+    """Round an amount to a count that a message may carry.
+
+    Explanation
+    -----------
+    Declared run times are the callers' and may be absurd. A number out of bounds would
+    make guards drop the whole report.
+
+    Examples
+    --------
+    >>> bounded_count(1.6), bounded_count(-3.0), bounded_count(1e30) == MAX_SAFE_INTEGER
+    (2, 0, True)
+    """
+    return round(min(max(amount, 0.0), MAX_SAFE_INTEGER))
+
+
 def scale_to_backlog(
     demands: Iterable[QueueDemand], factors: Mapping[str, float]
 ) -> tuple[QueueDemand, ...]:
     """Scale the demand of the viewed jobs to that of all jobs of their queues."""
     return tuple(
         demand._replace(
-            tasks=round(demand.tasks * factors[demand.queue]),
-            work_ms=round(demand.work_ms * factors[demand.queue]),
+            tasks=bounded_count(demand.tasks * factors[demand.queue]),
+            work_ms=bounded_count(demand.work_ms * factors[demand.queue]),
         )
         for demand in demands
     )
@@ -496,11 +519,11 @@
     -----------
     A task that failed everywhere is tried again where it failed, as without offers.
     """
-    if not any(group.excluded >= guards for group in demand.groups):
+    if not guards or not any(group.excluded >= guards for group in demand.groups):
         return demand
     return demand._replace(
         groups=tuple(
-            group._replace(excluded=frozenset()) if group.excluded >= guards else group
+            group._replace(excluded=group.full) if group.excluded >= guards else group
             for group in demand.groups
         )
     )
@@ -575,8 +598,10 @@
         (previous.smallest, current.smallest),
         (previous.first, current.first),
     )
+    less, more = sorted((previous.work_ms, current.work_ms))
     return (
         many >= few * TASKS_CHANGE_FACTOR
+        or more >= less * TASKS_CHANGE_FACTOR
         or abs(current.waited_ms - known_wait_ms) > WAIT_TOLERANCE_MS
         or any(
             max(amounts) > NEED_CHANGE_FACTOR * min(amounts)
--- a/hawthorntrack/coordination/scheduling/lookahead.py
+++ b/hawthorntrack/coordination/scheduling/lookahead.py
@@ -147,6 +147,5 @@
     >>> backfill_limit_ms(plan, 1.5, 10.0)
     40
     """
-    return max(
-        0, round((plan.at - now) * 1_000) * 1_000 // round(run_time_factor * 1_000)
-    )
+    left_ms = round((plan.at - now) * 1_000)
+    return max(0, left_ms * 1_000 // max(1, round(run_time_factor * 1_000)))
--- a/hawthorntrack/coordination/scheduling/offers.py
+++ b/hawthorntrack/coordination/scheduling/offers.py
@@ -19,7 +19,11 @@
     backfill_limit_ms,
     backfill_plan,
 )
-from hawthorntrack.coordination.scheduling.shares import WeightedShares, weight_of
+from hawthorntrack.coordination.scheduling.shares import (
+    WeightedShares,
+    bounded_priority,
+    weight_of,
+)
 from hawthorntrack.protocol.run_messages import MAX_DEMANDS, QueueDemand, QueueWait
 from hawthorntrack.state.resources import NO_RESOURCES, Resources
 
@@ -44,8 +48,6 @@
 START_RATE_WINDOW_S = 0.5
 # Longer than any caller waits. It also keeps the reported number within its bounds.
 MAX_WAIT_MS = 60_000
-# The weight of a lower priority would be too small to divide by.
-LOWEST_PRIORITY = 16
 
 
 class Demand(NamedTuple):
@@ -255,7 +257,7 @@
             self.reported_at[entry] = now
             smallest = demand.smallest.to_resources()
             self.least_need = lower(self.least_need or smallest, smallest)
-            self.priorities[demand.queue] = min(demand.priority, LOWEST_PRIORITY)
+            self.priorities[demand.queue] = bounded_priority(demand.priority)
             self.demands.setdefault(demand.queue, {})[entry] = Demand(
                 entry,
                 demand.queue,
--- a/hawthorntrack/coordination/scheduling/outlook.py
+++ b/hawthorntrack/coordination/scheduling/outlook.py
@@ -12,7 +12,10 @@
     SIMILAR_DURATION_SHARE,
     LookAhead,
     TargetCandidate,
+    expected_wait_s,
+    is_feasible,
 )
+from hawthorntrack.state.plans import StepSpec
 
 
 class Prospect(NamedTuple):
@@ -21,7 +24,7 @@
     Attributes
     ----------
     wait_s : float
-        Wait in seconds that the guard reports for the queue.
+        Time in seconds until capacity is expected to be free there.
     """
 
     wait_s: float
@@ -40,7 +43,12 @@
 
 
 class TargetOutlook:
-    """Expected waits for targets of each speed, by service and queue.
+    """Expected waits for targets of each speed.
+
+    Explanation
+    -----------
+    Tasks of one queue need similar amounts, so the waits are computed once for each
+    queue, label and set of excluded guards, with the need of the first task.
 
     Parameters
     ----------
@@ -49,33 +57,44 @@
     """
 
     def __init__(self, candidates: Iterable[TargetCandidate]) -> None:
-        self.statuses = [candidate.target_status for candidate in candidates]
-        self.by_queue: dict[tuple[str, str], list[Prospect]] = {}
+        self.candidates = list(candidates)
+        self.cache: dict[tuple, list[Prospect]] = {}
 
-    def prospects(self, service: str, queue: str) -> list[Prospect]:
+    def prospects(
+        self, service: str, queue: str, step: StepSpec, excluded: frozenset[str]
+    ) -> list[Prospect]:
         """Return the shortest waits, each for faster targets than the one before."""
-        key = service, queue
-        if key not in self.by_queue:
-            self.by_queue[key] = self.shortest_waits(service, queue)
-        return self.by_queue[key]
-
-    def shortest_waits(self, service: str, queue: str) -> list[Prospect]:
+        key = service, queue, step.label, excluded
+        if key not in self.cache:
+            self.cache[key] = self.shortest_waits(service, queue, step, excluded)
+        return self.cache[key]
+
+    def shortest_waits(
+        self, service: str, queue: str, step: StepSpec, excluded: frozenset[str]
+    ) -> list[Prospect]:
         """Return the waits that no faster target undercuts, shortest first."""
         found: list[Prospect] = []
         for prospect in sorted(
             Prospect(
-                sum(w.wait_ms for w in status.queue_waits if w.queue == queue) / 1000,
-                status.slowness,
+                expected_wait_s(candidate, step.need, queue),
+                candidate.target_status.slowness,
             )
-            for status in self.statuses
-            if status.service == service
+            for candidate in self.candidates
+            if candidate.target_status.service == service
+            and candidate.address not in excluded
+            and is_feasible(candidate.target_status, step)
         ):
             if not found or prospect.slowness < found[-1].slowness:
                 found.append(prospect)
         return found
 
     def is_worth_using(
-        self, service: str, slowness: float, estimate_s: float, look_ahead: LookAhead
+        self,
+        service: str,
+        slowness: float,
+        step: StepSpec,
+        excluded: frozenset[str],
+        look_ahead: LookAhead,
     ) -> bool:
         """Return whether a task should use a target rather than wait for another.
 
@@ -85,18 +104,21 @@
             Service of the task's queue.
         slowness : float
             Slowness of the target.
-        estimate_s : float
-            Declared run time of the task in seconds.
+        step : StepSpec
+            Step of the task.
+        excluded : frozenset of str
+            Guards that must not get the task.
         look_ahead : LookAhead
             How long the task may wait.
         """
+        estimate_s = step.estimate_s
         if slowness * estimate_s <= look_ahead.end_within_s:
             return True
         return not any(
             prospect.wait_s <= look_ahead.max_wait_s
             and prospect.wait_s + prospect.slowness * estimate_s
             <= look_ahead.end_within_s
-            for prospect in self.prospects(service, look_ahead.queue)
+            for prospect in self.prospects(service, look_ahead.queue, step, excluded)
         )
 
 
--- a/hawthorntrack/coordination/scheduling/shares.py
+++ b/hawthorntrack/coordination/scheduling/shares.py
@@ -10,6 +10,8 @@
 # A queue gets this many times the share of one that is a priority level lower, if both
 # have demand: the most urgent of three levels keeps three quarters of the capacity.
 PRIORITY_SHARE_RATIO = 4.0
+# The weight of a lower priority would be too small to divide by.
+LOWEST_PRIORITY = 16
 
 
 def weight_of(priority: int) -> float:
@@ -20,7 +22,18 @@
     >>> weight_of(0), weight_of(1), weight_of(2)
     (1.0, 0.25, 0.0625)
     """
-    return PRIORITY_SHARE_RATIO**-priority
+    return PRIORITY_SHARE_RATIO ** -bounded_priority(priority)
+
+
+def bounded_priority(priority: int) -> int:
+    """Return a configured priority within the bounds that shares can be computed for.
+
+    Examples
+    --------
+    >>> bounded_priority(-1), bounded_priority(2), bounded_priority(600)
+    (0, 2, 16)
+    """
+    return min(max(priority, 0), LOWEST_PRIORITY)
 
 
 class WeightedShares:
--- a/hawthorntrack/coordination/scheduling/tests/test_demand.py
+++ b/hawthorntrack/coordination/scheduling/tests/test_demand.py
@@ -12,16 +12,22 @@
     Backlog,
     DemandReports,
     DemandView,
+    JobDemand,
+    TaskGroup,
     demands_for,
     divide_work,
     guards_to_ask,
     job_demand,
+    queue_demand,
 )
 from hawthorntrack.coordination.target_selection import TargetCandidate
-from hawthorntrack.protocol.run_messages import QueueWait, TargetStatus
+from hawthorntrack.protocol.codec import codecs
+from hawthorntrack.protocol.messages import Envelope
+from hawthorntrack.protocol.run_messages import QueueWait, ReportDemand, TargetStatus
 from hawthorntrack.state.catalogue import Queue
 from hawthorntrack.state.plans import JobPlan, StepSpec
 from hawthorntrack.state.resources import NO_RESOURCES, Resources
+from hawthorntrack.state.values import NO_INCARNATION
 
 NEED = Resources(4_000, 64)
 CAPACITY = Resources(64_000, 32_768)
@@ -197,3 +203,14 @@
     backlog.discard("c")
     assert backlog.tasks() == {"small": 2}
     assert backlog.longest_wait_s(NOW + 1) == 1.0
+
+
+@pytest.mark.parametrize("estimate_s", [1e13, 0.0])
+def test_absurd_run_times_leave_a_report_readable(estimate_s):
+    """A guard dropped the whole report, so no queue of the instance had demand."""
+    step = StepSpec(32, Resources(96_000, 64), estimate_s)
+    group = TaskGroup(step, 32, frozenset())
+    demand = JobDemand("a", "long", "visits", -1, (0,), 10.0, 1.0, (group,))
+    told = ReportDemand((queue_demand("long", [(demand, group)], 10.5),))
+    codec, envelope = codecs["msgpack"], Envelope(NO_INCARNATION, 1, told)
+    assert codec.decode(codec.encode(envelope)) == envelope
--- a/hawthorntrack/coordination/scheduling/tests/test_outlook.py
+++ b/hawthorntrack/coordination/scheduling/tests/test_outlook.py
@@ -5,13 +5,22 @@
 from hawthorntrack.coordination.scheduling.outlook import TargetOutlook
 from hawthorntrack.coordination.target_selection import LookAhead, TargetCandidate
 from hawthorntrack.protocol.run_messages import QueueWait, TargetStatus
-from hawthorntrack.state.resources import NO_RESOURCES
+from hawthorntrack.state.plans import StepSpec
+from hawthorntrack.state.resources import NO_RESOURCES, Resources
+
+STEP = StepSpec(1, Resources(4_000), 1.8)
 
 
 @pytest.fixture
 def outlook():
     """Return a function that gives the outlook on full targets of two speeds."""
-    status = TargetStatus("ready", "visits", slowness=1.7)
+    status = TargetStatus(
+        "ready",
+        "visits",
+        capacity=Resources(64_000),
+        slowness=1.7,
+        free_soon_cpu_m=(4_000,) * 4,
+    )
 
     def make(fast_wait_ms):
         fast = status._replace(
@@ -38,5 +47,8 @@
     """Long tasks started in the first offer they got, and ended after the objective."""
     look_ahead = LookAhead("long", max_wait_s, end_within_s)
     found = outlook(fast_wait_ms)
-    assert found.is_worth_using("visits", 1.7, 1.8, look_ahead) == worth_using
-    assert found.is_worth_using("letters", 1.7, 1.8, look_ahead)
+    assert (
+        found.is_worth_using("visits", 1.7, STEP, frozenset(), look_ahead)
+        == worth_using
+    )
+    assert found.is_worth_using("letters", 1.7, STEP, frozenset(), look_ahead)
--- a/hawthorntrack/coordination/scheduling/waits.py
+++ b/hawthorntrack/coordination/scheduling/waits.py
@@ -144,12 +144,15 @@
     start_s : float
         Time that all targets together need at least to start the tasks of its first
         steps once the first has started, in seconds.
+    deadline_s : float
+        Time after its arrival until its caller stops waiting, in seconds.
     """
 
     objective_s: float
     critical_path_s: float
     slowness: float = 0.0
     start_s: float = 0.0
+    deadline_s: float = math.inf
 
 
 wait_limits: Registry = Registry("limit of a wait")
@@ -171,8 +174,15 @@
     least that this takes, and the slowness the lowest, so that no job is refused that
     could be answered in time.
     """
-    run_s = job.critical_path_s * job.slowness
-    return max(MAX_WAIT_FLOOR_S, job.objective_s - run_s - job.start_s)
+    left_s = job.objective_s - job.critical_path_s * job.slowness - job.start_s
+    # A job that is late in any case is still worth something to its caller.
+    return max(MAX_WAIT_FLOOR_S, left_s) if left_s > 0 else first_task_limit_s(job)
+
+
+@wait_limits.register("caller_deadline")
+def caller_deadline_limit_s(job: ArrivingJob) -> float:
+    """Return the wait after which the caller has stopped waiting."""
+    return job.deadline_s
 
 
 class AdmissionRefusal(NamedTuple):
--- a/hawthorntrack/coordination/tests/test_room_offering.py
+++ b/hawthorntrack/coordination/tests/test_room_offering.py
@@ -86,7 +86,7 @@
 @pytest.mark.parametrize(
     "outcome, after_s, messages",
     [
-        ("expired", OFFER_VALID_S, [(ReviewOffers(), None)]),
+        ("expired", OFFER_VALID_S, [(ReviewOffers(0.0), None)]),
         ("discarded", 0.0, [(LinkDown(ENTRY.address), None)]),
         ("discarded", 0.0, [(HELLO, RESTARTED)]),
         # The offer and a withdrawal cross; the number follows the guard's first token.
@@ -196,3 +196,16 @@
     guard.wait(0.1)
     assert guard.take_messages(rm.OfferRoom) == []
     assert not [t for t in guard.timers if isinstance(t[1], ReviewOffers)]
+
+
+def test_timers_of_the_offers_do_not_multiply(guard):
+    """Each timer set another one, and reviews came thousands of times a second."""
+    for _ in range(20):
+        (offer,) = ask(guard, waited_ms=200)
+        guard.time += 0.003
+        guard.deliver(rm.CloseOffer(offer.offer, ()), ENTRY)
+        guard.time += UNUSED_PAUSE_S
+        for _, message in guard.timers:
+            guard.deliver(message)
+    reviews = [t for t in guard.timers if isinstance(t[1], ReviewOffers)]
+    assert len(reviews) <= 2 * 20  # the expiry and the pause of each offer
--- a/hawthorntrack/protocol/run_messages.py
+++ b/hawthorntrack/protocol/run_messages.py
@@ -15,7 +15,11 @@
 MAX_DEMANDS = 64
 MAX_QUEUE_NAME_LENGTH = 200
 
+# Measured run times of up to this multiple of the declared ones are told apart.
+MAX_SLOWNESS = 1_000
+
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_SAFE_INTEGER)]
+Slowness = Annotated[float, msgspec.Meta(ge=0, le=MAX_SLOWNESS)]
 QueueName = Annotated[str, msgspec.Meta(max_length=MAX_QUEUE_NAME_LENGTH)]
 
 
@@ -80,11 +84,11 @@
     labels: tuple[str, ...] = ()
     capacity: Resources = NO_RESOURCES
     free: Resources = NO_RESOURCES
-    slowness: float = 1.0
+    slowness: Slowness = 1.0
     sequence: int = 0
     capacity_is_current: bool = True
     queue_waits: tuple[QueueWait, ...] = ()
-    free_soon_cpu_m: tuple[int, ...] = ()
+    free_soon_cpu_m: tuple[Count, ...] = ()
 
 
 @message("hello")
@@ -157,7 +161,7 @@
 
     name: RunName
     need: Resources
-    estimate_ms: int
+    estimate_ms: Count
     isolated: bool = False
 
 
