--- a/hawthorntrack/state/metrics.py
+++ b/hawthorntrack/state/metrics.py
@@ -6,6 +6,14 @@
 from prometheus_client import Counter, Gauge, Histogram
 
 REFUSALS = Counter("hawthorntrack_refusals", "Requests refused, not run.", ["kind"])
+ARRIVAL_REFUSALS = Counter(
+    "hawthorntrack_arrival_refusals",
+    "Jobs refused at arrival because their expected wait exceeds a limit.",
+    ["queue", "limit"],
+)
+EXPECTED_WAIT_SECONDS = Gauge(
+    "hawthorntrack_expected_wait_seconds", "Expected wait of a new job.", ["queue"]
+)
 FAILURES = Counter("hawthorntrack_failures", "Jobs answered as failed.", ["kind"])
 RETRIES = Counter("hawthorntrack_retries", "Tasks or requests sent again.", ["reason"])
 JOBS = Counter("hawthorntrack_jobs", "Jobs answered.", ["status"])
@@ -14,6 +22,30 @@
     "hawthorntrack_target_crashes", "Crashes of the target beside a guard."
 )
 NOT_RUN = Counter("hawthorntrack_not_run", "Tasks returned unstarted.", ["reason"])
+ROOM_KEPT_SECONDS = Counter(
+    "hawthorntrack_room_kept_seconds",
+    "Time for which free capacity was kept for a task that does not fit yet.",
+)
+BACKFILL_PLANS = Counter(
+    "hawthorntrack_backfill_plans",
+    "Plans to keep capacity for a task that does not fit yet.",
+    ["outcome"],
+)
+AWAITED_TARGETS = Counter(
+    "hawthorntrack_awaited_targets",
+    "Tasks that waited for a faster target although another had room.",
+    ["queue"],
+)
+OFFERS = Counter(
+    "hawthorntrack_offers", "Offers of capacity that have ended.", ["outcome"]
+)
+DEMAND_REPORTS = Counter(
+    "hawthorntrack_demands_reported", "Reports of waiting tasks received."
+)
+HELD_CPU = Gauge(
+    "hawthorntrack_held_cpu_m",
+    "Processor capacity held for open offers, in millicores.",
+)
 MESSAGES = Counter("hawthorntrack_messages", "Bus messages.", ["direction", "type"])
 MESSAGE_BYTES = Counter("hawthorntrack_message_bytes", "Bus bytes.", ["direction"])
 BAD_INPUT = Counter(
@@ -33,6 +65,15 @@
 GUARD_LINKS = Gauge(
     "hawthorntrack_guard_links", "Guards of an entry instance's working set.", ["state"]
 )
+DEMANDS_SENT = Counter(
+    "hawthorntrack_demands_sent", "Reports of waiting tasks sent to guards.", ["kind"]
+)
+OFFERS_ANSWERED = Counter(
+    "hawthorntrack_offers_answered", "Guards' offers of capacity answered.", ["outcome"]
+)
+OFFERED_STARTS = Counter(
+    "hawthorntrack_offered_starts", "Tasks started in capacity that a guard offered."
+)
 CLAIMS = Counter("hawthorntrack_slot_claims", "Slot claims begun.", ["reason"])
 SLOTS = Gauge("hawthorntrack_slots", "Slots by role of this guard.", ["phase"])
 QUEUED = Gauge("hawthorntrack_queued_tasks", "Tasks waiting.", ["where"])
