--- a/hawthorntrack/coordination/run_placement.py
+++ b/hawthorntrack/coordination/run_placement.py
@@ -369,10 +369,10 @@
         job.begun = True
         peer.runs[task.name] = task.run
         peer.unreported[task.run] = task.step.need
-        # No run lasts longer than its caller waits, whatever run time is declared.
-        run_s = min(task.step.estimate_s, job.deadline_at - job.arrived)
-        work = task.step.need.cpu_m / 1000 * run_s
+        cores, run_s = task.step.need.cpu_m / 1000, task.step.estimate_s
         if self.share_room:
-            self.shares.charge(job.queue.name, job.queue.priority, work)
+            # No run lasts longer than its caller waits, whatever run time is declared.
+            run_s = min(run_s, job.deadline_at - job.arrived)
+            self.shares.charge(job.queue.name, job.queue.priority, cores * run_s)
         else:
-            self.shares.charge(job.queue.name, work)
+            self.shares.charge(job.queue.name, cores * run_s)
