Check addresses as addresses, and survive those that cannot be connected to

Cause: an address was checked by its shape only, so any digits, colons and dots in brackets passed for a host. The resolver raises UnicodeError for it, a ValueError, which no client expected; spawned work that fails ends its actor, and with it the process. Ruled out: the decoding of the fields that the heartbeat lacks (the same heartbeat with a valid address ends nothing).

Related paths with the same cause, in the same way: StreamBus.dial, the bus (ZMQError from a socket's connect), the target and the table client, table.url and listening addresses (an error at the start), settings files that cannot be decoded, IPv6 addresses dialled with their brackets, redirections of orders.

--- a/hawthorntrack/conftest.py
+++ b/hawthorntrack/conftest.py
@@ -52,6 +52,22 @@
     "long_label": "x" * 100 + ":80",
     "not_ascii": "\u00e9" * 80 + ":80",
     "path": "10.0.0.2/x:80",
+    "garbled_ipv6": "[::ffff:127..0.9]:8080",
+    "empty_labels_in_brackets": "[..]:80",
+    "long_label_in_brackets": "[" + "a" * 64 + "]:80",
+    "number_in_brackets": "[1]:80",
+    "scope_in_brackets": "[fe80::1%lo]:80",
+    "ipv6_without_brackets": "::1:80",
+    "garbled_ipv4": "127.0.0:80",
+    "ipv4_out_of_range": "999.0.0.1:80",
+    "only_a_hyphen": "-:80",
+}
+# Hosts for which the resolver raises UnicodeError, and a port for which it raises
+# OverflowError.
+UNENCODABLE_ADDRESSES = {
+    "garbled_ipv6": "[::ffff:127..0.9]:8080",
+    "empty_label": "127..0.9:80",
+    "port_65536": "127.0.0.1:65536",
 }
 
 
@@ -164,6 +180,12 @@
     return request.param
 
 
+@pytest.fixture(params=UNENCODABLE_ADDRESSES.values(), ids=UNENCODABLE_ADDRESSES)
+def unencodable_address(request: pytest.FixtureRequest) -> str:
+    """Return an address for which connecting raises no network error."""
+    return request.param
+
+
 LONG_RUNNING = ("test_processes.py", "test_searches.py", "test_tool.py")
 
 
--- a/hawthorntrack/platform/store.py
+++ b/hawthorntrack/platform/store.py
@@ -8,6 +8,7 @@
 from hawthorntrack.state.directives import StoreRow
 from hawthorntrack.state.metrics import TABLE_CALLS, labelled
 from hawthorntrack.state.store import Changes, HistoryGone, StoreUnavailable
+from hawthorntrack.transport.connecting import address_errors
 
 CALL_TIMEOUT_S = 0.6  # a hundred times the store's usual response time
 REASON_BY_STATUS = {429: "limited", 503: "busy"}
@@ -31,7 +32,7 @@
     """
 
     def __init__(self, address: str) -> None:
-        self.base = f"http://{address}"
+        self.address = address
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
                 limit=4, keepalive_timeout=KEEPALIVE_S, use_dns_cache=False
@@ -43,11 +44,15 @@
         self, method: str, path: str, timeout_s: float, **options: object
     ) -> tuple[int, bytes]:
         """Make one HTTP request; return its status and body."""
-        async with (
-            asyncio.timeout(timeout_s),
-            self.session.request(method, self.base + path, **options) as response,
-        ):
-            return response.status, await response.read()
+        url = f"http://{self.address}{path}"
+        with address_errors("store", self.address):
+            async with (
+                asyncio.timeout(timeout_s),
+                self.session.request(
+                    method, url, allow_redirects=False, **options
+                ) as response,
+            ):
+                return response.status, await response.read()
 
     async def read(self, table: str) -> Changes | StoreUnavailable:
         """Read all rows of a table, page by page."""
--- a/hawthorntrack/platform/targets.py
+++ b/hawthorntrack/platform/targets.py
@@ -31,6 +31,7 @@
 from hawthorntrack.state.mailbox import Mailbox
 from hawthorntrack.state.metrics import BAD_INPUT, labelled
 from hawthorntrack.state.values import Incarnation
+from hawthorntrack.transport.connecting import address_errors
 from hawthorntrack.transport.http_server import read_body
 
 MAX_CONNECTIONS = 12
@@ -105,19 +106,28 @@
     async def post(
         self, target: TargetAddress, path: str, body: dict[str, Any], timeout_s: float
     ) -> tuple[int, bytes]:
-        """Post one order; return the answer's status and body."""
-        async with (
-            asyncio.timeout(timeout_s),
-            self.session.post(
-                f"http://{target.address}{path}",
-                data=encode_json(body),
-                headers={
-                    "Content-Type": "application/json",
-                    INSTANCE_HEADER: target.incarnation.id,
-                },
-            ) as response,
-        ):
-            return response.status, await response.read()
+        """Post one order; return the answer's status and body.
+
+        Explanation
+        -----------
+        The order is for this target alone, so a redirection is not followed.
+        """
+        data = encode_json(body)
+        headers = {
+            "Content-Type": "application/json",
+            INSTANCE_HEADER: target.incarnation.id,
+        }
+        with address_errors("target", target.address):
+            async with (
+                asyncio.timeout(timeout_s),
+                self.session.post(
+                    f"http://{target.address}{path}",
+                    data=data,
+                    headers=headers,
+                    allow_redirects=False,
+                ) as response,
+            ):
+                return response.status, await response.read()
 
     async def send_start(self, order: StartOrder) -> None:
         """Order the target to start a run, and report the outcome."""
--- a/hawthorntrack/state/settings.py
+++ b/hawthorntrack/state/settings.py
@@ -3,9 +3,11 @@
 import ipaddress
 import socket
 from typing import Annotated, Any, NamedTuple, NotRequired, TypedDict
+from urllib.parse import urlsplit
 
 import msgspec
 
+from hawthorntrack.state.addresses import split_address
 from hawthorntrack.state.documents import ENVIRONMENTS, Milliseconds, Name
 from hawthorntrack.state.validation import InvalidInput, check, load_yaml
 from hawthorntrack.state.values import Location
@@ -158,18 +160,33 @@
 
 def check_address(text: str, source: str, path: str) -> None:
     """Raise `InvalidInput` for an address that is not of the form ``ip:port``."""
-    host, _, port = text.rpartition(":")
     try:
-        ipaddress.ip_address(host.strip("[]"))
-        valid = 0 < int(port) < 65_536
+        host, _ = split_address(text)
+        ipaddress.ip_address(host)
+    except ValueError as error:
+        raise InvalidInput(
+            source,
+            path,
+            f"{text!r} is not a valid address",
+            "Give an IP number and a port, such as 127.0.0.1:7101 or [::1]:7101.",
+        ) from error
+
+
+def check_url(text: str, source: str, path: str) -> None:
+    """Raise `InvalidInput` for a URL whose server cannot be connected to."""
+    try:
+        parts = urlsplit(text)
+        has_port = parts.port is not None
+        split_address(parts.netloc if has_port else f"{parts.netloc}:80")
+        valid = parts.scheme in ("http", "https")
     except ValueError:
         valid = False
     if not valid:
         raise InvalidInput(
             source,
             path,
-            f"{text!r} is not a valid address",
-            "Give an IP number and a port, such as 127.0.0.1:7101.",
+            f"{text!r} is not a valid URL",
+            "Give a scheme, a host and a port, such as http://127.0.0.1:7100.",
         )
 
 
@@ -239,6 +256,7 @@
         check_address(peer, source, "routes")
         check_address(route, source, f"routes.{peer}")
     table = body["table"]
+    check_url(table["url"], source, "table.url")
     table_timeout_s = table.get("timeout_ms", 1000) / 1000
     if timing.freshness_s < 2 * table_timeout_s + POLL_GAP_S:
         raise InvalidInput(
--- a/hawthorntrack/state/tests/test_settings.py
+++ b/hawthorntrack/state/tests/test_settings.py
@@ -15,7 +15,7 @@
 )
 from hawthorntrack.state.documents import check_document
 from hawthorntrack.state.settings import load_settings, parse_settings
-from hawthorntrack.state.validation import InvalidInput
+from hawthorntrack.state.validation import InvalidInput, load_yaml
 
 
 @pytest.fixture
@@ -43,6 +43,12 @@
         ({"listen": {"bus": "localhost:1", "http": "::1"}}, "listen.bus", "IP number"),
         ({"timing": {"pair_silence_ms": 300}}, "timing.pair_silence_ms", "three times"),
         ({"timing": {"freshness_ms": 1500}}, "timing.freshness_ms", "outage"),
+        ({"listen": {"bus": "::1:7101", "http": "::1"}}, "listen.bus", "[::1]:7101"),
+        ({"listen": {"bus": "[1]:7101", "http": "::1"}}, "listen.bus", "IP number"),
+        ({"table": {"url": "127.0.0.1:7100"}}, "table.url", "scheme"),
+        ({"table": {"url": "http://127..0.9:7100"}}, "table.url", "scheme"),
+        ({"table": {"url": "http://[::ffff:127..0.9]:1"}}, "table.url", "scheme"),
+        ({"table": {"url": "http://127.0.0.1:65536"}}, "table.url", "scheme"),
         ({"slots": 0}, "slots", ">= 1"),
         ({"routes": {"127.0.0.1:1": "far"}}, "routes.127.0.0.1:1", "IP number"),
     ],
@@ -102,3 +108,16 @@
             witness_rules.names(),
         )
     assert caught.value.path == path
+
+
+@pytest.mark.parametrize(
+    "content",
+    [b"node: \xff", b"since: 2026-13-45", b"[" * 100_000],
+    ids=["no_utf8", "no_date", "nested"],
+)
+def test_settings_file_that_cannot_be_decoded_is_refused(tmp_path, content):
+    """Such a file used to raise an error that a reload does not handle."""
+    path = tmp_path / "node.yaml"
+    path.write_bytes(content)
+    with pytest.raises(InvalidInput, match="not valid YAML"):
+        load_yaml(str(path))
--- a/hawthorntrack/state/validation.py
+++ b/hawthorntrack/state/validation.py
@@ -131,7 +131,8 @@
         raise InvalidInput(
             path, "", f"cannot be read: {error.strerror}", "Check the path."
         ) from error
-    except yaml.YAMLError as error:
+    # Text that is not UTF-8 and impossible dates raise ValueError.
+    except (yaml.YAMLError, ValueError, RecursionError) as error:
         raise InvalidInput(
             path, "", f"not valid YAML: {error}", "Correct the syntax at that place."
         ) from error
--- a/hawthorntrack/transport/bus.py
+++ b/hawthorntrack/transport/bus.py
@@ -58,8 +58,12 @@
         self.socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
         self.socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
         self.socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
-        self.socket.connect(f"tcp://{address}")
         self.last_used_at = now
+        try:
+            self.socket.connect(f"tcp://{address}")
+        except zmq.ZMQError:
+            self.socket.close()
+            raise
 
 
 class BusSender(Actor):
@@ -114,10 +118,11 @@
             route = self.routes.get(address, address)
             try:
                 split_address(route)
-            except ValueError:
+                peer = PeerSocket(self.context, route, self.now())
+            except (ValueError, zmq.ZMQError):
                 labelled(BUS_DROPS, "no_address").inc()
                 return
-            peer = self.peers[address] = PeerSocket(self.context, route, self.now())
+            self.peers[address] = peer
         peer.last_used_at = self.now()
         data = self.codec.encode(Envelope(self.me, self.stamp, message.body))
         nonce = message.to.nonce.encode()
--- a/hawthorntrack/transport/streams.py
+++ b/hawthorntrack/transport/streams.py
@@ -34,6 +34,7 @@
 )
 from hawthorntrack.state.naming import exposed_name
 from hawthorntrack.state.values import Incarnation
+from hawthorntrack.transport.connecting import address_errors
 
 FRAME_HEADER = struct.Struct(">I")
 FRAME_MAX_BYTES = 8_000_000  # well above the largest configuration row in the store
@@ -290,11 +291,12 @@
 
     async def dial(self, address: str) -> Link | None:
         """Connect to a peer; return the link, or None if there is no connection."""
-        host, port = split_address(address)
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, link = await loop.create_connection(self.new_link, host, port)
+            with address_errors("link", address):
+                host, port = split_address(address)
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    _, link = await loop.create_connection(self.new_link, host, port)
         except (OSError, TimeoutError):
             return None
         return link
@@ -327,7 +329,11 @@
         host, _, port = self.listen.rpartition(":")
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(
-            self.new_link, host, int(port), backlog=512, reuse_address=True
+            self.new_link,
+            host.strip("[]"),
+            int(port),
+            backlog=512,
+            reuse_address=True,
         )
         try:
             await super().run()
--- a/hawthorntrack/transport/table_client.py
+++ b/hawthorntrack/transport/table_client.py
@@ -31,7 +31,8 @@
 CALL_ERRORS = (
     aiohttp.ClientError,
     TimeoutError,
-    msgspec.DecodeError,
+    # Malformed answers, and hosts that the resolver cannot encode.
+    ValueError,
     RecursionError,
     OSError,
 )
--- a/hawthorntrack/transport/target_client.py
+++ b/hawthorntrack/transport/target_client.py
@@ -15,6 +15,7 @@
 from hawthorntrack.state.actor import Actor, handles
 from hawthorntrack.state.mailbox import Mailbox
 from hawthorntrack.state.values import Incarnation
+from hawthorntrack.transport.connecting import address_errors
 
 OUTPUT_MAX_BYTES = 1_000_000
 CONNECT_TIMEOUT_S = 1.0
@@ -100,16 +101,18 @@
             "size_ms": task.spec.size_ms,
             "input": msgspec.Raw(task.spec.input),
         }
-        async with self.session.post(
-            f"http://{task.address}/run", data=msgspec.json.encode(body)
-        ) as response:
-            output = await response.content.read(OUTPUT_MAX_BYTES + 1)
-            while len(output) <= OUTPUT_MAX_BYTES and not response.content.at_eof():
-                output += await response.content.read(OUTPUT_MAX_BYTES + 1)
-            if len(output) > OUTPUT_MAX_BYTES:
-                return False, b'"output too large"', False
-            if response.status != 200:
-                return False, as_json(output), response.status >= 500
+        data = msgspec.json.encode(body)
+        with address_errors("target", task.address):
+            async with self.session.post(
+                f"http://{task.address}/run", data=data
+            ) as response:
+                output = await response.content.read(OUTPUT_MAX_BYTES + 1)
+                while len(output) <= OUTPUT_MAX_BYTES and not response.content.at_eof():
+                    output += await response.content.read(OUTPUT_MAX_BYTES + 1)
+                if len(output) > OUTPUT_MAX_BYTES:
+                    return False, b'"output too large"', False
+                if response.status != 200:
+                    return False, as_json(output), response.status >= 500
         return is_json(output), as_json(output), False
 
     async def run(self) -> None:
--- a/hawthorntrack/transport/tests/test_edges.py
+++ b/hawthorntrack/transport/tests/test_edges.py
@@ -159,6 +159,54 @@
     asyncio.run(scenario())
 
 
+def test_message_to_a_peer_whose_socket_rejects_the_address_is_dropped(monkeypatch):
+    def reject(socket, address):
+        raise zmq.ZMQError(zmq.EINVAL)
+
+    async def scenario():
+        context = zmq.asyncio.Context()
+        me, peer = Incarnation("127.0.0.1:1", "a"), Incarnation("127.0.0.1:2", "n")
+        sender = BusSender(context, codecs["msgpack"], me, None, {})
+        dropped = counter_value(BUS_DROPS, reason="no_address")
+        try:
+            sender.handle(Outgoing(peer, messages.Pending("r1")))
+            assert sender.peers == {}
+            assert counter_value(BUS_DROPS, reason="no_address") == dropped + 1
+        finally:
+            context.destroy(linger=0)
+
+    monkeypatch.setattr(zmq.Socket, "connect", reject)
+    asyncio.run(scenario())
+
+
+def test_task_for_an_unencodable_target_address_fails(unencodable_address):
+    """The resolver's error for such a host used to end the client and its process."""
+
+    async def scenario():
+        answers = Mailbox("answers")
+        client = TargetClient(answers)
+        client.handle(local.SetConnections(2))
+        name = ("visits", "k", 0)
+        spec = TaskSpec("confirm", b"null", 10)
+        client.handle(local.RunTask(name, unencodable_address, "k", 0, spec))
+        answer = await answers.get()
+        assert not answer.ok
+        assert answer.target_fault
+        await client.session.close()
+
+    run_with_real_clock(scenario())
+
+
+def test_table_at_an_unencodable_address_is_unavailable(unencodable_address):
+    async def scenario():
+        table = HttpTable(f"http://{unencodable_address}", 0.3, 9, 9)
+        assert isinstance(await table.read(""), TableUnavailable)
+        assert isinstance(await table.write("a", ABSENT, b""), WriteOutcomeUnknown)
+        await table.close()
+
+    run_with_real_clock(scenario())
+
+
 def test_bus_drops_invalid_messages_and_keeps_receiving():
     async def scenario():
         context = zmq.asyncio.Context()
--- a/hawthorntrack/transport/tests/test_streams.py
+++ b/hawthorntrack/transport/tests/test_streams.py
@@ -217,3 +217,21 @@
         assert not one.task.done()
 
     with_peers(scenario)
+
+
+def test_unencodable_address_of_a_peer_does_not_end_the_bus(
+    with_peers, unencodable_address
+):
+    """Seen: such an address in a member's row ended all entry instances."""
+
+    async def scenario(one, two):
+        await wait_for_hello(one)
+        assert await one.bus.dial(unencodable_address) is None
+        for order in (MaintainLink(unencodable_address), DialOnce(unencodable_address)):
+            one.bus.mailbox.put(order)
+        one.bus.mailbox.put(Send(two.bus.me.address, CancelJobRuns("k")))
+        await wait_for_hello(two)
+        assert (await two.received.get()).body == CancelJobRuns("k")
+        assert not one.task.done()
+
+    with_peers(scenario)
