Pass on the newer stamp of directives that changed and changed back

Callers saw a zone unused after it was back in service: guards refused every order there as zone_out, until the operators' next change.

Cause: if the zone was out and back between two answers of the store to the entry instances, their rows were equal, and the dispatcher was not told of the newer stamp. Guards that had learnt of the zone in between take zones from a newer stamp only. Ruled out: the guard's comparison of versions, which must refuse an older report.

The new test fails on the code before (stamp 21 in place of 30) and passes here.

--- a/hawthorntrack/coordination/dispatcher.py
+++ b/hawthorntrack/coordination/dispatcher.py
@@ -18,6 +18,7 @@
     CancelPlan,
     CountQueuedJobs,
     DirectivesChanged,
+    DirectivesConfirmed,
     GetPlanState,
     SubmitPlan,
 )
@@ -436,6 +437,21 @@
         self.report_ready()
         self.placement_pending = True
 
+    @handles(DirectivesConfirmed)
+    def on_directives_confirmed(
+        self, confirmed: DirectivesConfirmed, sender: Incarnation
+    ) -> None:
+        """Record that the store has no newer directives.
+
+        Explanation
+        -----------
+        A zone that was taken out of service and brought back while the store did not
+        answer leaves the directives as they were. A guard that has learnt of the zone
+        in between brings it back only for a newer stamp.
+        """
+        if confirmed.stamp > self.directives.stamp:
+            self.directives = self.directives._replace(stamp=confirmed.stamp)
+
     @handles(Tick)
     def on_tick(self, tick: Tick, sender: Incarnation) -> None:
         """End expired jobs, and reschedule the runs of silent guards."""
--- a/hawthorntrack/coordination/store_watcher.py
+++ b/hawthorntrack/coordination/store_watcher.py
@@ -7,7 +7,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from hawthorntrack.protocol.job_requests import DirectivesChanged
+from hawthorntrack.protocol.job_requests import (
+    DirectivesChanged,
+    DirectivesConfirmed,
+)
 from hawthorntrack.protocol.links import DialOnce, MaintainLink, StampChanged
 from hawthorntrack.protocol.local import MembersKnown, NewerStampSeen
 from hawthorntrack.protocol.run_messages import (
@@ -82,7 +85,7 @@
     links : Mailbox
         Receives `MaintainLink`, `DialOnce` and `StampChanged`.
     subscribers : list of Mailbox
-        Receive `DirectivesChanged` and `MembersKnown`.
+        Receive `DirectivesChanged`, `DirectivesConfirmed` and `MembersKnown`.
     """
 
     exposed_name = "Follower"
@@ -200,6 +203,7 @@
         if rows == self.rows and self.stamp:
             self.stamp = stamp
             self.links.put(StampChanged(stamp))
+            self.confirm_directives()
             return
         try:
             directives = self.decode(rows, stamp)
@@ -212,6 +216,11 @@
         for mailbox in self.subscribers:
             mailbox.put(DirectivesChanged(directives))
 
+    def confirm_directives(self) -> None:
+        """Tell the subscribers that the directives in force are still the newest."""
+        for mailbox in self.subscribers:
+            mailbox.put(DirectivesConfirmed(self.stamp))
+
     def apply_readable_rows(self, rows: dict[str, StoreRow], stamp: int) -> None:
         """Put the readable rows in force, and keep earlier versions of the others."""
         unreadable = {
--- a/hawthorntrack/coordination/tests/test_store_watcher.py
+++ b/hawthorntrack/coordination/tests/test_store_watcher.py
@@ -5,10 +5,15 @@
 import pytest
 
 from hawthorntrack.coordination.store_watcher import StoreWatcher
+from hawthorntrack.coordination.tests.test_dispatcher import (
+    GUARD_1,
+    DispatcherHarness,
+)
 from hawthorntrack.protocol.job_requests import DirectivesChanged
 from hawthorntrack.protocol.links import DialOnce, MaintainLink
 from hawthorntrack.protocol.local import MembersKnown, NewerStampSeen
 from hawthorntrack.protocol.run_messages import (
+    ConfirmLease,
     DirectiveRows,
     Hello,
     KnownMembers,
@@ -93,22 +98,24 @@
         self.watcher.handle(Delivery(sender, body))
 
     def versions(self):
-        queue = self.subscriber.queue
-        items = [queue.get_nowait() for _ in range(queue.qsize())]
+        items = self.posted_messages()
         return [
             (item.directives.catalogue.version, item.directives.stamp)
             for item in items
             if isinstance(item, DirectivesChanged)
         ]
 
+    def posted_messages(self):
+        queue = self.subscriber.queue
+        return [queue.get_nowait() for _ in range(queue.qsize())]
+
     def dialled_addresses(self, kind):
         queue = self.links.queue
         items = [queue.get_nowait() for _ in range(queue.qsize())]
         return [item.address for item in items if isinstance(item, kind)]
 
     def known_members(self):
-        queue = self.subscriber.queue
-        items = [queue.get_nowait() for _ in range(queue.qsize())]
+        items = self.posted_messages()
         return [
             member
             for item in items
@@ -230,6 +237,21 @@
     assert harness.sent == []
 
 
+def test_zone_out_and_back_between_two_answers_gives_guards_a_newer_stamp(run, harness):
+    """A guard that learnt of the zone in between kept it out until the next change."""
+    harness.store.reads["op"] = [Changes((config(8, 20),), 21)]
+    harness.store.watches["op"] = [Changes((StoreRow("out/z", b"", 30, True),), 30)]
+    entry = DispatcherHarness(asyncio.new_event_loop())
+    entry.connect_guard(GUARD_1)
+    run(harness.run_for())
+    for message in harness.posted_messages():
+        entry.deliver(message)
+    entry.send_heartbeat(GUARD_1)
+    _, confirmation = entry.take_messages(ConfirmLease)[-1]
+    assert (confirmation.store_version, confirmation.zones_out) == (30, ())
+    entry.loop.close()
+
+
 def test_guards_in_the_members_table_are_passed_to_the_dispatcher(run, harness):
     harness.store.reads["members"] = [Changes((StoreRow("10.0.0.5:1", b"", 1),), 2)]
     run(harness.run_for())
--- a/hawthorntrack/protocol/job_requests.py
+++ b/hawthorntrack/protocol/job_requests.py
@@ -69,3 +69,15 @@
     """The operators' directives have changed; these are in force from now on."""
 
     directives: Directives
+
+
+class DirectivesConfirmed(NamedTuple):
+    """The directives in force are still the newest.
+
+    Attributes
+    ----------
+    stamp : int
+        Store version as of which they are in force.
+    """
+
+    stamp: int
