Let guards read the zones out of service while entry instances are outdated

Cause: guards learnt of zones from lease confirmations only, at any age; an entry instance that the store refuses goes on confirming what it knew. Ruled out with the new log lines (zones:read, zones:changed): late delivery of confirmations, and a version comparison that keeps the older zones.

Change: orders and confirmations carry the time for which the store has not answered their sender, and idle guards are told once when it exceeds 2 s. A guard without newer knowledge then reads the operators' rows of zones itself, at most every 2 s, and reports its target as zone_out to entry instances. A guard that cannot read goes on with what it knows.

--- a/hawthorntrack/coordination/dispatcher.py
+++ b/hawthorntrack/coordination/dispatcher.py
@@ -451,6 +451,7 @@
         """
         if confirmed.stamp > self.directives.stamp:
             self.directives = self.directives._replace(stamp=confirmed.stamp)
+        self.directives_as_of = max(self.directives_as_of, confirmed.as_of)
 
     @handles(Tick)
     def on_tick(self, tick: Tick, sender: Incarnation) -> None:
--- a/hawthorntrack/coordination/guard_links.py
+++ b/hawthorntrack/coordination/guard_links.py
@@ -41,6 +41,13 @@
         Durations of leases.
     working_set : WorkingSet
         The guards that this instance wants to be linked to.
+
+    Attributes
+    ----------
+    directives : Directives
+        The operators' directives in force.
+    directives_as_of : float
+        Time as of which the store has no newer ones, in seconds of `clock`.
     """
 
     def __init__(
@@ -58,6 +65,7 @@
         self.lease_times = lease_times
         self.working_set = working_set
         self.directives = Directives()
+        self.directives_as_of = 0.0
         self.peers: dict[str, GuardPeer] = {}
         self.next_review_at = 0.0
 
@@ -65,6 +73,10 @@
         """Send a guard the list of runs that its present incarnation should have."""
         raise NotImplementedError
 
+    def directives_age_s(self) -> float:
+        """Return for how long the store has not answered, in seconds."""
+        return max(0.0, self.clock() - self.directives_as_of)
+
     def available_peers(self, now: float) -> list[GuardPeer]:
         """Return the guards that accept new runs."""
         zones_out = self.directives.zones_out
--- a/hawthorntrack/coordination/guard_peer.py
+++ b/hawthorntrack/coordination/guard_peer.py
@@ -15,7 +15,11 @@
 NO_TARGET = TargetStatus("absent")
 # A guard refuses orders for these reasons until its next heartbeat has been answered:
 # by an order with a newer timestamp, or by a confirmation with newer directives.
-REFUSALS_UNTIL_HEARTBEAT = frozenset({"owner_silent", "stale_order", "zone_out"})
+REFUSALS_UNTIL_HEARTBEAT = frozenset(
+    {"owner_silent", "stale_order", "zone_out", "zones_outdated"}
+)
+# Statuses with which a guard reports a target that has answered it.
+VERIFIED_STATUSES = frozenset({"ready", "zone_out"})
 
 
 class GuardPeer:
@@ -50,6 +54,8 @@
         a link.
     sends_capacity_updates : bool
         Whether that confirmation requested an update on each change of capacity.
+    told_outdated : bool
+        Whether it told the guard that the directives are outdated.
     released : bool
         Whether the guard has left the working set, and its link is to be closed once no
         run is left there.
@@ -77,6 +83,7 @@
         self.lease_confirmed_at = 0.0
         self.lease_confirmed_stamp = -1
         self.sends_capacity_updates = False
+        self.told_outdated = False
         self.released = False
 
     def begin_incarnation(self, nonce: str) -> None:
@@ -88,6 +95,7 @@
         self.lease_confirmed_at = 0.0
         self.lease_confirmed_stamp = -1
         self.sends_capacity_updates = False
+        self.told_outdated = False
 
     def update_capacity(self, target_status: TargetStatus) -> None:
         """Store a report of the target's status, unless a newer one is known."""
--- a/hawthorntrack/coordination/leaseholder.py
+++ b/hawthorntrack/coordination/leaseholder.py
@@ -16,6 +16,8 @@
     Run,
     TargetSession,
 )
+from hawthorntrack.coordination.zone_knowledge import ZonesAsOf
+from hawthorntrack.coordination.zone_reader import ReadZones, ZonesRead
 from hawthorntrack.protocol.links import LinkDown, LinkUp
 from hawthorntrack.protocol.local import Drain, DrainCompleted, DrainDeadlinePassed
 from hawthorntrack.protocol.run_messages import (
@@ -40,7 +42,7 @@
 from hawthorntrack.state.event_log import log_event
 from hawthorntrack.state.lease_times import GUARD_HEARTBEAT_INTERVAL_S, LeaseTimes
 from hawthorntrack.state.mailbox import Mailbox, Tick
-from hawthorntrack.state.metrics import NOT_RUN, labelled
+from hawthorntrack.state.metrics import NOT_RUN, ZONE_READS, labelled
 from hawthorntrack.state.naming import exposed_name
 from hawthorntrack.state.plans import RunName, TaskName
 from hawthorntrack.state.values import Incarnation
@@ -78,6 +80,8 @@
         Receives `TargetStateChanged`.
     drained : Mailbox
         Receives `DrainCompleted` once all runs have ended after a `Drain`.
+    zone_reader : Mailbox
+        Receives `ReadZones`.
     clock : callable
         Returns seconds, including time for which the machine was suspended.
     first_token : int
@@ -98,8 +102,6 @@
         Status in the last heartbeat that was sent to all entry instances.
     recent_endings : dict
         Ending of the last run, by owner and task, with the time of the report.
-    zones_version : int
-        Stamp of the directives from which `zones_out` was taken.
     """
 
     def __init__(
@@ -108,6 +110,7 @@
         calls: Mailbox,
         target_record: Mailbox,
         drained: Mailbox,
+        zone_reader: Mailbox,
         clock: Clock,
         first_token: int,
         lease_times: LeaseTimes,
@@ -125,18 +128,22 @@
             share_room,
         )
         self.drained = drained
+        self.zone_reader = zone_reader
         self.capacity_subscribers: dict[str, None] = {}
         self.reported_status = ""
         self.recent_endings: dict[tuple[str, TaskName], tuple[float, RunEnding]] = {}
         self.deferred_orders: dict[TaskName, list[DeferredOrder]] = {}
-        self.zones_version = 0
         self.sequence = 0
         self.draining = False
         self.report_scheduled = False
         self.next_heartbeat_at = 0.0
 
     def status(self, session: TargetSession | None, now: float) -> str:
-        """Return the target's status: `ready`, `draining`, `unwell` or `absent`."""
+        """Return the target's status.
+
+        It is `ready`, `draining`, `unwell`, `absent`, or `zone_out` where no task may
+        start in the target's zone.
+        """
         if session is None:
             any_draining = any(s.state.draining for s in self.sessions.values())
             return "draining" if any_draining else "absent"
@@ -149,7 +156,9 @@
         usable = session.announced and session.verified and not session.unknown_runs
         if unwell or not usable or self.health.ejected_until > now:
             return "unwell"
-        return "ready"
+        return (
+            "zone_out" if session.state.zone in self.zones.known.zones_out else "ready"
+        )
 
     def target_status(self) -> TargetStatus:
         """Return the target's status and capacity under a new sequence number."""
@@ -244,6 +253,7 @@
     def on_link_down(self, event: LinkDown, sender: Incarnation) -> None:
         """Shorten an entry instance's lease to the time it has to reconnect."""
         self.linked_entries.discard(event.address)
+        self.zones.outdated_entries.discard(event.address)
         self.capacity_subscribers.pop(event.address, None)
         self.forget_demand(event.address)
         if event.address in self.owner_lease_ends:
@@ -264,9 +274,57 @@
             self.capacity_subscribers.setdefault(sender.address)
         else:
             self.capacity_subscribers.pop(sender.address, None)
-        if confirmation.store_version > self.zones_version:
-            self.zones_version = confirmation.store_version
-            self.zones_out = frozenset(confirmation.zones_out)
+        self.record_directives_age(confirmation, sender)
+        reported = ZonesAsOf(
+            confirmation.store_version, frozenset(confirmation.zones_out)
+        )
+        if self.zones.update(reported):
+            self.apply_zones(f"entry {sender.address}")
+
+    def record_directives_age(
+        self, message: ConfirmLease | StartRuns, sender: Incarnation
+    ) -> None:
+        """Record how old an entry instance's directives are; read the zones if needed.
+
+        Explanation
+        -----------
+        The age was true when the message was sent, which was after the heartbeat whose
+        clock reading it returns.
+        """
+        self.zones.record_age(
+            sender.address,
+            message.directives_age_ms / 1000,
+            min(message.guard_clock_ms / 1000, self.clock()),
+        )
+        self.read_zones_if_needed()
+
+    def read_zones_if_needed(self) -> None:
+        """Read the zones out of service if no entry instance knows them well enough."""
+        now = self.clock()
+        if self.zones.needs_read(now):
+            self.zones.read_pending = True
+            self.zone_reader.put(ReadZones(now))
+
+    @handles(ZonesRead)
+    def on_zones_read(self, message: ZonesRead, sender: Incarnation) -> None:
+        """Apply the zones that were read, unless an entry instance told newer ones."""
+        outcome = "failed" if message.zones is None else "ok"
+        labelled(ZONE_READS, outcome).inc()
+        log_event(
+            "zones:read",
+            outcome=outcome,
+            outdated_entries=len(self.zones.outdated_entries),
+            age_ms=round((self.clock() - self.zones.as_of) * 1000),
+        )
+        if self.zones.record_read(message.zones, message.asked_at):
+            self.apply_zones("store")
+
+    def apply_zones(self, source: str) -> None:
+        """Log changed zones, and report the target's status if it has changed."""
+        version, zones_out = self.zones.known
+        zones = ",".join(sorted(zones_out))
+        log_event("zones:changed", as_of=version, zones_out=zones, source=source)
+        self.schedule_capacity_report()
 
     def extend_owner_lease(self, owner: str, lease_end: float) -> None:
         """Extend an owner's lease to a time; never shorten it."""
@@ -280,6 +338,7 @@
     def on_start_runs(self, order: StartRuns, sender: Incarnation) -> None:
         """Start the ordered runs that fit, defer some, and refuse the others."""
         now = self.clock()
+        self.record_directives_age(order, sender)
         session = self.current_session()
         accepted: list[RunName] = []
         refused: dict[str, list[RunName]] = defaultdict(list)
@@ -328,8 +387,8 @@
         """Return why a run is refused, apart from its need; empty if it is not."""
         if status != "ready":
             return status
-        if session.state.zone in self.zones_out:
-            return "zone_out"
+        if not self.zones.allows_starts(self.clock()):
+            return "zones_outdated"
         if session.isolated_job not in ("", order.name.task.job):
             return "isolated"
         return ""
@@ -568,6 +627,7 @@
             for key, (ended_at, ending) in self.recent_endings.items()
             if ended_at + ENDING_RETENTION_S > now
         }
+        self.read_zones_if_needed()
         if now >= self.next_heartbeat_at:
             self.next_heartbeat_at = now + GUARD_HEARTBEAT_INTERVAL_S
             self.send_heartbeat_to_all()
--- a/hawthorntrack/coordination/room_offering.py
+++ b/hawthorntrack/coordination/room_offering.py
@@ -19,6 +19,7 @@
     OfferBook,
 )
 from hawthorntrack.coordination.target_session import TargetSession
+from hawthorntrack.coordination.zone_knowledge import ZoneKnowledge
 from hawthorntrack.protocol.run_messages import (
     BoundedResources,
     CloseOffer,
@@ -87,8 +88,8 @@
         linked or has runs here.
     linked_entries : set of str
         Entry instances to which there is a link.
-    zones_out : frozenset of str
-        Zones in which no task may start.
+    zones : ZoneKnowledge
+        Zones in which no task may start, and as of when they are known.
     offers : OfferBook
         Demands and open offers.
     room_changed : bool
@@ -117,7 +118,7 @@
         self.share_room = share_room
         self.entry_nonces: dict[str, str] = {}
         self.linked_entries: set[str] = set()
-        self.zones_out: frozenset[str] = frozenset()
+        self.zones = ZoneKnowledge()
         # The first token is above those of earlier processes, and so are its offers.
         self.offers = OfferBook(first_token)
         self.room_changed = False
@@ -125,7 +126,7 @@
         self.review_at = float("inf")
 
     def status(self, session: TargetSession | None, now: float) -> str:
-        """Return the target's status: `ready`, `draining`, `unwell` or `absent`."""
+        """Return the target's status, as `LeaseHolder.status` does."""
         raise NotImplementedError
 
     def handle(self, message: Any) -> None:
@@ -149,8 +150,7 @@
             return
         now, session = self.clock(), self.current_session()
         self.record_ended(self.offers.expire(now), "expired")
-        usable = self.status(session, now) == "ready"
-        if usable and session.state.zone not in self.zones_out:
+        if self.status(session, now) == "ready":
             view = RoomView(session.offered)
             if self.offers.demands:
                 view = self.room_view(session, NO_RESOURCES, now)
--- a/hawthorntrack/coordination/run_placement.py
+++ b/hawthorntrack/coordination/run_placement.py
@@ -271,6 +271,7 @@
                 tuple(orders),
                 job.queue.name if self.share_room else "",
                 offer,
+                round(self.directives_age_s() * 1000),
             )
             self.send(address, message)
 
--- a/hawthorntrack/coordination/run_tracking.py
+++ b/hawthorntrack/coordination/run_tracking.py
@@ -5,9 +5,10 @@
 
 from hawthorntrack.coordination.crash_records import UNKNOWN_CRASH, CrashId
 from hawthorntrack.coordination.crash_tracking import CrashTracking
-from hawthorntrack.coordination.guard_peer import GuardPeer
+from hawthorntrack.coordination.guard_peer import VERIFIED_STATUSES, GuardPeer
 from hawthorntrack.coordination.job_progress import PLACED, WAITING, Job, Task
 from hawthorntrack.coordination.working_set import WorkingSet
+from hawthorntrack.coordination.zone_knowledge import is_outdated
 from hawthorntrack.protocol.run_messages import (
     CheckRuns,
     ConfirmLease,
@@ -127,13 +128,15 @@
         Explanation
         -----------
         A guard without runs of this instance has no lease to be extended. It is told
-        the directives, and whether jobs wait for its capacity, when these change.
+        the directives, whether they are outdated, and whether jobs wait for its
+        capacity, when these change.
         """
         if not peer.linked or not peer.guard_clock_ms:
             return
         informed = (
             peer.lease_confirmed_stamp == self.directives.stamp
             and peer.sends_capacity_updates == self.needs_capacity_updates
+            and peer.told_outdated == is_outdated(self.directives_age_s())
         )
         unconfirmed_s = peer.heartbeat_at - peer.lease_confirmed_at
         due = peer.runs and unconfirmed_s >= MIN_LEASE_CONFIRM_INTERVAL_S
@@ -150,17 +153,20 @@
         """
         self.end_unawaited_jobs(self.jobs_at(peer))
         zones_out = tuple(sorted(self.directives.zones_out))
+        age_s = self.directives_age_s()
         confirmation = ConfirmLease(
             peer.guard_clock_ms,
             self.directives.stamp,
             zones_out,
             self.needs_capacity_updates,
+            round(age_s * 1000),
         )
         peer.lease_confirmed_at, peer.lease_confirmed_stamp = (
             peer.heartbeat_at,
             confirmation.store_version,
         )
         peer.sends_capacity_updates = confirmation.needs_capacity_updates
+        peer.told_outdated = is_outdated(age_s)
         self.send(peer.address, confirmation)
 
     def request_capacity_updates(self, jobs_waiting: bool) -> None:
@@ -196,14 +202,13 @@
         until its lease expires, so the guard is asked only after that.
         """
         leases_expired = peer.earlier_leases_expired(self.clock())
-        ready_target = (
-            peer.target_status.target if peer.target_status.status == "ready" else None
-        )
+        is_verified = peer.target_status.status in VERIFIED_STATUSES
+        verified_target = peer.target_status.target if is_verified else None
         inherited = [
             task
             for task in self.tasks_placed_at(peer)
             if task.guard_nonce != peer.nonce
-            and (leases_expired or task.target == ready_target)
+            and (leases_expired or task.target == verified_target)
         ]
         if not inherited:
             return
--- a/hawthorntrack/coordination/store_watcher.py
+++ b/hawthorntrack/coordination/store_watcher.py
@@ -20,6 +20,7 @@
     RequestDirectives,
 )
 from hawthorntrack.state.actor import Actor, handles
+from hawthorntrack.state.clock import Clock
 from hawthorntrack.state.directives import (
     Directives,
     Member,
@@ -54,12 +55,17 @@
         Whether the rows are all rows of the table, not only changed ones.
     outcome : Changes
         The rows and the version of the table.
+    as_of : float
+        Time at which the store had no newer rows, in seconds since boot.
     """
 
-    def __init__(self, table: str, is_full_read: bool, outcome: Changes) -> None:
+    def __init__(
+        self, table: str, is_full_read: bool, outcome: Changes, as_of: float
+    ) -> None:
         self.table = table
         self.is_full_read = is_full_read
         self.outcome = outcome
+        self.as_of = as_of
 
 
 class StoreWatcher(Actor):
@@ -86,6 +92,8 @@
         Receives `MaintainLink`, `DialOnce` and `StampChanged`.
     subscribers : list of Mailbox
         Receive `DirectivesChanged`, `DirectivesConfirmed` and `MembersKnown`.
+    clock : callable
+        Returns seconds since boot, including time for which the machine was suspended.
     """
 
     exposed_name = "Follower"
@@ -101,6 +109,7 @@
         send: Callable[[str, Any], None],
         links: Mailbox,
         subscribers: list[Mailbox],
+        clock: Clock,
     ) -> None:
         super().__init__()
         self.me = me
@@ -112,6 +121,7 @@
         self.send = send
         self.links = links
         self.subscribers = subscribers
+        self.clock = clock
         self.rows: dict[str, StoreRow] = {}
         self.stamp = 0
         self.members: dict[str, Member] = {}
@@ -147,6 +157,7 @@
         pause_s = INITIAL_BACKOFF_S
         while True:
             is_full_read = after is None
+            as_of = self.clock()
             if is_full_read:
                 outcome = await self.store.read(table)
             else:
@@ -163,8 +174,10 @@
                 after = None
                 continue
             after = outcome.version
-            if is_full_read or outcome.rows:
-                self.mailbox.put(StoreAnswer(table, is_full_read, outcome))
+            if not is_full_read and not outcome.rows:
+                # Nothing had changed by the end of the wait.
+                as_of = min(self.clock(), as_of + wait_s)
+            self.mailbox.put(StoreAnswer(table, is_full_read, outcome, as_of))
 
     def log_reachability(self, call: str, outcome: Any) -> None:
         """Log when a call to the store begins to fail or succeeds again."""
@@ -187,11 +200,13 @@
 
     @handles(StoreAnswer)
     def on_store_answer(self, answer: StoreAnswer, sender: Incarnation) -> None:
-        """Apply rows read from the store."""
+        """Apply rows read from the store; without rows, the others are confirmed."""
         if answer.table == DIRECTIVES_TABLE:
-            before = {} if answer.is_full_read else self.rows
-            rows = merge_rows(before, answer.outcome.rows)
-            self.apply_rows(rows, answer.outcome.version)
+            if answer.is_full_read or answer.outcome.rows:
+                before = {} if answer.is_full_read else self.rows
+                rows = merge_rows(before, answer.outcome.rows)
+                self.apply_rows(rows, answer.outcome.version)
+            self.confirm_directives(answer.as_of)
         else:
             rows = [row for row in answer.outcome.rows if not row.removed]
             self.add_members(self.decode_members(rows))
@@ -216,10 +231,10 @@
         for mailbox in self.subscribers:
             mailbox.put(DirectivesChanged(directives))
 
-    def confirm_directives(self) -> None:
+    def confirm_directives(self, as_of: float = 0.0) -> None:
         """Tell the subscribers that the directives in force are still the newest."""
         for mailbox in self.subscribers:
-            mailbox.put(DirectivesConfirmed(self.stamp))
+            mailbox.put(DirectivesConfirmed(self.stamp, as_of))
 
     def apply_readable_rows(self, rows: dict[str, StoreRow], stamp: int) -> None:
         """Put the readable rows in force, and keep earlier versions of the others."""
--- a/hawthorntrack/coordination/tests/test_dispatcher.py
+++ b/hawthorntrack/coordination/tests/test_dispatcher.py
@@ -27,11 +27,13 @@
     choose_quarantine,
 )
 from hawthorntrack.coordination.working_set import SURPLUS_LINGER_S
+from hawthorntrack.coordination.zone_knowledge import OUTDATED_AFTER_S
 from hawthorntrack.protocol.job_requests import (
     CallerDisconnected,
     CancelPlan,
     CountQueuedJobs,
     DirectivesChanged,
+    DirectivesConfirmed,
     GetPlanState,
     SubmitPlan,
 )
@@ -107,7 +109,8 @@
     """A dispatcher with a manual clock, which records what it sends.
 
     Messages that it posts to itself for the next pass of the event loop are delivered
-    after the current one, or by `run_passes` while `hold_passes` is set.
+    after the current one, or by `run_passes` while `hold_passes` is set. The store
+    confirms the directives all the time while `store_answers` is set.
     """
 
     def __init__(self, loop, lease_times=LEASE_TIMES, share_room=False) -> None:
@@ -121,6 +124,7 @@
         self.delayed = []
         self.next_pass = []
         self.hold_passes = False
+        self.store_answers = True
         self.dispatcher = Dispatcher(
             "recife",
             1.5,
@@ -142,6 +146,8 @@
         self.ready = ready
 
     def deliver(self, body, sender=CALLER):
+        if self.store_answers:
+            self.dispatcher.handle(DirectivesConfirmed(0, self.time))
         self.dispatcher.handle(Delivery(sender, body))
         if not self.hold_passes:
             self.run_passes()
@@ -546,6 +552,43 @@
     assert confirmation == ConfirmLease(round(entry.time * 1000), 5, ("olinda",))
 
 
+def test_guard_without_runs_is_told_when_the_directives_are_outdated(entry):
+    """It reads the zones out of service itself from then on."""
+    entry.take_messages(ConfirmLease)
+    entry.store_answers = False
+    silent_since = entry.time
+    ages_ms = []
+    for _ in range(30):
+        entry.advance(0.2)
+        entry.send_heartbeat(GUARD_1)
+        ages_ms += [m.directives_age_ms for _, m in entry.take_messages(ConfirmLease)]
+    assert len(ages_ms) == 1
+    assert OUTDATED_AFTER_S <= ages_ms[0] / 1000 <= OUTDATED_AFTER_S + 0.25
+    assert entry.time - silent_since > 5.0
+    entry.store_answers = True
+    entry.send_heartbeat(GUARD_1)
+    ((_, confirmation),) = entry.take_messages(ConfirmLease)
+    assert confirmation.directives_age_ms == 0
+
+
+def test_order_carries_the_age_of_the_directives(entry):
+    entry.store_answers = False
+    entry.advance(0.1)
+    entry.send_heartbeat(GUARD_1)
+    entry.submit()
+    ((_, order),) = entry.take_messages(StartRuns)
+    assert order.directives_age_ms == 100
+
+
+def test_no_run_is_sent_to_a_guard_that_reports_its_zone_out(entry):
+    """It has read a zone that this entry instance does not know to be out."""
+    entry.send_heartbeat(GUARD_1, status="zone_out")
+    entry.submit()
+    assert entry.take_starts() == []
+    entry.send_heartbeat(GUARD_1)
+    assert entry.take_starts() != []
+
+
 def test_order_is_as_old_as_the_heartbeat_that_it_relies_on(entry):
     """A guard refuses an order that a network cut delayed by its timestamp."""
     heartbeat_ms = round(entry.time * 1000)
@@ -823,7 +866,9 @@
     assert [run.run for _, run in entry.take_starts()] == [4, 4]
 
 
-@pytest.mark.parametrize("reason", ["owner_silent", "stale_order", "zone_out"])
+@pytest.mark.parametrize(
+    "reason", ["owner_silent", "stale_order", "zone_out", "zones_outdated"]
+)
 def test_refused_order_is_not_repeated_at_a_guard_before_its_next_heartbeat(
     entry, reason
 ):
@@ -837,7 +882,9 @@
     assert [to for to, _ in entry.take_starts()] == [GUARD_1.address]
 
 
-@pytest.mark.parametrize("reason", ["owner_silent", "stale_order", "zone_out"])
+@pytest.mark.parametrize(
+    "reason", ["owner_silent", "stale_order", "zone_out", "zones_outdated"]
+)
 def test_task_refused_until_a_heartbeat_is_placed_at_another_guard_at_once(
     entry, reason
 ):
--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -27,6 +27,8 @@
     STOP_RETRY_DELAY_S,
 )
 from hawthorntrack.coordination.run_reconciler import RENEWAL_LONG_POLL_S
+from hawthorntrack.coordination.zone_knowledge import ZonesAsOf
+from hawthorntrack.coordination.zone_reader import ZonesRead
 from hawthorntrack.protocol.links import LinkDown
 from hawthorntrack.protocol.local import Drain
 from hawthorntrack.protocol.run_messages import (
@@ -111,12 +113,14 @@
         self.clock_rate = 1.0
         self.calls = OrderMailbox()
         self.target_record = Mailbox("memory")
+        self.zone_reader = Mailbox("zone_reader")
         self.sent = []
         self.holder = LeaseHolder(
             lambda address, body: self.sent.append((address, body)),
             self.calls,
             self.target_record,
             Mailbox("drained"),
+            self.zone_reader,
             lambda: self.time,
             first_token=50,
             lease_times=lease_times,
@@ -281,6 +285,101 @@
     assert [r.reason for r in guard.take_messages(RunsRefused)] == ["zone_out"]
 
 
+def confirm_with_age(guard, age_s, entry=ENTRY):
+    """Confirm the lease with directives that the store last confirmed so long ago."""
+    clock_ms, age_ms = round(guard.time * 1000), round(age_s * 1000)
+    guard.deliver(ConfirmLease(clock_ms, 1, (), False, age_ms), entry)
+
+
+def answer_zone_reads(guard, version, zones_out):
+    """Answer the guard's reads of the zones; None for zones that cannot be read."""
+    queue = guard.zone_reader.queue
+    requests = [queue.get_nowait() for _ in range(queue.qsize())]
+    zones = None if zones_out is None else ZonesAsOf(version, frozenset(zones_out))
+    for request in requests:
+        guard.deliver(ZonesRead(zones, request.asked_at))
+    return len(requests)
+
+
+def test_evacuation_takes_effect_while_the_store_turns_entry_instances_away(guard):
+    """Seen: guards went on starting tasks in the zone for as long as that lasted."""
+    for tenths in range(30):
+        guard.wait(0.1)
+        confirm_with_age(guard, (tenths + 1) / 10)
+        answer_zone_reads(guard, 7, ["recife"])
+    (name,) = guard.order_runs()
+    assert guard.take_orders(StartOrder) == []
+    (refused,) = guard.take_messages(RunsRefused)
+    assert (refused.runs, refused.reason) == ((name,), "zone_out")
+
+
+def test_zone_out_is_reported_to_entry_instances_that_do_not_know_it(guard):
+    """They stop placing there at once, instead of being refused order by order."""
+    confirm_with_age(guard, 3.0)
+    guard.time += 3.0
+    guard.wait(0.1)
+    answer_zone_reads(guard, 7, ["recife"])
+    guard.take_messages(GuardHeartbeat)
+    guard.deliver(ReportCapacity())
+    (heartbeat,) = guard.take_messages(GuardHeartbeat)
+    assert heartbeat.target_status.status == "zone_out"
+
+
+def test_zone_that_the_guard_read_out_is_back_with_newer_directives(guard):
+    guard.time += 3.0
+    confirm_with_age(guard, 3.0)
+    answer_zone_reads(guard, 7, ["recife"])
+    confirm_with_age(guard, 0.1)
+    guard.order_runs()
+    assert guard.take_orders(StartOrder) == []
+    guard.deliver(ConfirmLease(round(guard.time * 1000), 9, ()), ENTRY)
+    guard.order_runs(job="b" * 16)
+    assert len(guard.take_orders(StartOrder)) == 1
+
+
+def test_runs_are_started_while_the_store_is_away_for_all(guard):
+    for tenths in range(80):
+        guard.wait(0.1)
+        confirm_with_age(guard, (tenths + 1) / 10)
+        answer_zone_reads(guard, 0, None)
+        guard.answer_renewals()
+        guard.announce(sequence=tenths + 2)
+    guard.order_runs()
+    assert len(guard.take_orders(StartOrder)) == 1
+
+
+def test_guard_on_a_calm_day_does_not_read_the_zones(guard):
+    for _ in range(100):
+        guard.wait(0.1)
+        confirm_with_age(guard, 0.7)
+    assert answer_zone_reads(guard, 0, None) == 0
+
+
+def test_order_on_old_directives_is_refused_until_the_zones_were_read(guard):
+    """It is from an entry instance that was frozen, and has not asked the store yet."""
+    guard.time += 60.0
+    guard.announce(sequence=2)
+    order = StartRuns(
+        round(guard.time * 1000),
+        "spec",
+        9_000,
+        (RunOrder(RunName(TaskName("a" * 16, 0, 0, 0), 1), NEED, 400),),
+        directives_age_ms=60_000,
+    )
+    guard.deliver(order, ENTRY)
+    assert [r.reason for r in guard.take_messages(RunsRefused)] == ["zones_outdated"]
+    assert answer_zone_reads(guard, 7, []) == 1
+    guard.deliver(order, ENTRY)
+    assert len(guard.take_orders(StartOrder)) == 1
+
+
+def test_entry_instance_that_is_gone_causes_no_reads(guard):
+    guard.time += 3.0
+    guard.deliver(LinkDown(ENTRY.address))
+    guard.wait(0.1)
+    assert answer_zone_reads(guard, 0, None) == 0
+
+
 def test_late_update_of_zones_does_not_replace_a_newer_one(guard):
     guard.deliver(ConfirmLease(round(guard.time * 1000), 7, ("recife",)), ENTRY)
     guard.deliver(ConfirmLease(round(guard.time * 1000), 6, ()), ENTRY)
--- a/hawthorntrack/coordination/tests/test_store_watcher.py
+++ b/hawthorntrack/coordination/tests/test_store_watcher.py
@@ -4,12 +4,18 @@
 
 import pytest
 
-from hawthorntrack.coordination.store_watcher import StoreWatcher
+from hawthorntrack.coordination.store_watcher import (
+    DIRECTIVES_WATCH_S,
+    StoreWatcher,
+)
 from hawthorntrack.coordination.tests.test_dispatcher import (
     GUARD_1,
     DispatcherHarness,
 )
-from hawthorntrack.protocol.job_requests import DirectivesChanged
+from hawthorntrack.protocol.job_requests import (
+    DirectivesChanged,
+    DirectivesConfirmed,
+)
 from hawthorntrack.protocol.links import DialOnce, MaintainLink
 from hawthorntrack.protocol.local import MembersKnown, NewerStampSeen
 from hawthorntrack.protocol.run_messages import (
@@ -21,7 +27,7 @@
 )
 from hawthorntrack.state.actor import Delivery
 from hawthorntrack.state.catalogue import Catalogue
-from hawthorntrack.state.directives import Directives, Member, StoreRow
+from hawthorntrack.state.directives import Directives, KeyRange, Member, StoreRow
 from hawthorntrack.state.mailbox import Mailbox
 from hawthorntrack.state.store import Changes, HistoryGone, StoreUnavailable
 from hawthorntrack.state.values import Incarnation
@@ -37,14 +43,16 @@
         self.reads = {"op": [], "members": []}
         self.watches = {"op": [], "members": []}
         self.puts = []
+        self.watch_takes_s = 0.0
         self.calls = []
 
-    async def read(self, table):
+    async def read(self, table, keys=KeyRange()):
         self.calls.append(("read", table))
         return await self.next(self.reads[table])
 
     async def watch(self, table, after, wait_s):
         self.calls.append(("watch", table, after))
+        await asyncio.sleep(self.watch_takes_s)
         return await self.next(self.watches[table])
 
     async def put(self, table, key, value):
@@ -86,6 +94,7 @@
             lambda address, body: self.sent.append((address, body)),
             self.links,
             [self.subscriber],
+            lambda: self.watcher.now(),
         )
 
     async def run_for(self, seconds=0.1):
@@ -237,6 +246,29 @@
     assert harness.sent == []
 
 
+def test_directives_are_confirmed_as_of_the_end_of_each_wait(run, harness):
+    harness.store.reads["op"] = [Changes((config(8, 20),), 21)]
+    harness.store.watches["op"] = [Changes((), 21), Changes((), 21)]
+    harness.store.watch_takes_s = DIRECTIVES_WATCH_S
+    run(harness.run_for(2.0))
+    as_of = [
+        message.as_of
+        for message in harness.posted_messages()
+        if isinstance(message, DirectivesConfirmed)
+    ]
+    expected = [1_000.0 + DIRECTIVES_WATCH_S * n for n in range(3)]
+    assert as_of == pytest.approx(expected)
+
+
+def test_directives_are_not_confirmed_while_the_store_gives_no_answer(run, harness):
+    harness.store.reads["op"] = [Changes((config(8, 20),), 21)]
+    harness.store.watches["op"] = [StoreUnavailable("busy")] * 9
+    run(harness.run_for(3.0))
+    messages = harness.posted_messages()
+    confirmed = [m for m in messages if isinstance(m, DirectivesConfirmed)]
+    assert [message.as_of for message in confirmed] == [1_000.0]
+
+
 def test_zone_out_and_back_between_two_answers_gives_guards_a_newer_stamp(run, harness):
     """A guard that learnt of the zone in between kept it out until the next change."""
     harness.store.reads["op"] = [Changes((config(8, 20),), 21)]
--- /dev/null
+++ b/hawthorntrack/coordination/zone_reader.py
@@ -0,0 +1,67 @@
+"""Actor that reads the zones out of service from the store for a guard."""
+
+from collections.abc import Callable, Iterable
+from typing import Any, NamedTuple
+
+from hawthorntrack.coordination.store_watcher import DIRECTIVES_TABLE
+from hawthorntrack.coordination.zone_knowledge import ZonesAsOf
+from hawthorntrack.state.actor import Actor, handles
+from hawthorntrack.state.directives import KeyRange, StoreRow
+from hawthorntrack.state.mailbox import Mailbox
+from hawthorntrack.state.store import Store, StoreUnavailable
+from hawthorntrack.state.values import Incarnation
+
+
+class ReadZones(NamedTuple):
+    """The lease holder wants the zones out of service; `asked_at` is its time."""
+
+    asked_at: float
+
+
+class ZonesRead(NamedTuple):
+    """The outcome of a `ReadZones`; `zones` is None if the store gave no answer."""
+
+    zones: ZonesAsOf | None
+    asked_at: float
+
+
+class ZoneReader(Actor):
+    """Reads the operators' rows of zones, and no others, which may be large.
+
+    Parameters
+    ----------
+    store : Store
+        The platform's store.
+    zone_keys : KeyRange
+        Keys of the rows that take zones out of service.
+    decode : callable
+        Returns the zones that are out of service by these rows.
+    holder : Mailbox
+        Receives a `ZonesRead` for each `ReadZones`.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        zone_keys: KeyRange,
+        decode: Callable[[Iterable[StoreRow]], frozenset[str]],
+        holder: Mailbox,
+    ) -> None:
+        super().__init__()
+        self.store = store
+        self.zone_keys = zone_keys
+        self.decode = decode
+        self.holder = holder
+
+    @handles(ReadZones)
+    def on_read_zones(self, request: ReadZones, sender: Incarnation) -> None:
+        """Read the rows in a task of its own."""
+        self.spawn(self.read(request))
+
+    async def read(self, request: ReadZones) -> None:
+        """Read the rows once, and report the zones."""
+        outcome: Any = await self.store.read(DIRECTIVES_TABLE, self.zone_keys)
+        zones = None
+        if not isinstance(outcome, StoreUnavailable):
+            zones = ZonesAsOf(outcome.version, self.decode(outcome.rows))
+        self.holder.put(ZonesRead(zones, request.asked_at))
--- a/hawthorntrack/daemon/guard_node.py
+++ b/hawthorntrack/daemon/guard_node.py
@@ -4,8 +4,14 @@
 
 from hawthorntrack.coordination.leaseholder import LeaseHolder
 from hawthorntrack.coordination.target_record import TargetRecord
+from hawthorntrack.coordination.zone_reader import ZoneReader
 from hawthorntrack.daemon.node import Node
-from hawthorntrack.platform.formats import decode_target_row, encode_target_row
+from hawthorntrack.platform.formats import (
+    EVACUATED_ZONE_KEYS,
+    decode_target_row,
+    decode_zones_out,
+    encode_target_row,
+)
 from hawthorntrack.platform.targets import HeartbeatHandler, TargetCalls
 from hawthorntrack.state.clock import seconds_awake, seconds_since_boot
 from hawthorntrack.state.mailbox import Mailbox
@@ -26,11 +32,15 @@
         decode_target_row,
         Mailbox("unbound"),
     )
+    zone_reader = ZoneReader(
+        node.store, EVACUATED_ZONE_KEYS, decode_zones_out, Mailbox("unbound")
+    )
     lease_holder = LeaseHolder(
         node.send,
         target_calls.mailbox,
         target_record.mailbox,
         node.drained,
+        zone_reader.mailbox,
         seconds_since_boot,
         int(time.time() * 1000),
         settings.lease_times,
@@ -38,10 +48,14 @@
         settings.share_room,
     )
     target_calls.replies = target_record.holder = lease_holder.mailbox
+    zone_reader.holder = lease_holder.mailbox
     node.bus.listeners.append(lease_holder.mailbox)
     store_watcher = node.add_store_watcher([])
     node.add_routes(lease_holder)
     heartbeat_handler = HeartbeatHandler(lease_holder.mailbox)
     node.servers.append(HttpServer(settings.target, heartbeat_handler.answer))
-    actors = [node.bus, store_watcher, lease_holder, target_calls, target_record]
+    actors = [
+        *(node.bus, store_watcher, lease_holder, target_calls, target_record),
+        zone_reader,
+    ]
     await node.run(actors, (lease_holder, GUARD_TICK_S), lease_holder)
--- a/hawthorntrack/daemon/node.py
+++ b/hawthorntrack/daemon/node.py
@@ -18,6 +18,7 @@
 from hawthorntrack.protocol.messages import Envelope, bus_message_types
 from hawthorntrack.protocol.run_messages import Hello
 from hawthorntrack.state.actor import Actor, Delivery
+from hawthorntrack.state.clock import seconds_since_boot
 from hawthorntrack.state.directives import Member
 from hawthorntrack.state.event_log import log_event
 from hawthorntrack.state.mailbox import Mailbox, tick
@@ -80,6 +81,7 @@
             self.send,
             self.bus.mailbox,
             subscribers,
+            seconds_since_boot,
         )
         self.add_routes(self.store_watcher)
         return self.store_watcher
--- a/hawthorntrack/experiment/soak_faults.py
+++ b/hawthorntrack/experiment/soak_faults.py
@@ -16,6 +16,7 @@
 MAX_SERIES_LENGTH = 4
 FAULT_GAP_S = (0.1, 1.5)
 EXIT_TIMEOUT_S = 10.0  # well above the grace period for a shutdown
+UNSEEN_ZONE_OUT_S = 12.0  # longer than a start in the zone is allowed under faults
 RELAY_DELAY_S = 0.2  # in each direction
 LATE_ORDER_SHARE = 0.3
 
@@ -244,6 +245,23 @@
     site.set_zone_out(zone, False)
 
 
+@soak_fault("zone_out_unseen")
+async def take_zone_out_unseen(site: SoakSite, rng: random.Random) -> None:
+    """Take a zone out of service while no entry instance reaches the store."""
+    zone = rng.choice(ZONES)
+    entries = site.role("entry")
+    relays = [entry.relays["store"] for entry in entries]
+    with disturbed(*entries):
+        for relay in relays:
+            relay.cut()
+        await asyncio.sleep(rng.uniform(*FAULT_GAP_S))
+        site.set_zone_out(zone, True)
+        await asyncio.sleep(UNSEEN_ZONE_OUT_S)
+        site.set_zone_out(zone, False)
+        for relay in relays:
+            relay.heal()
+
+
 @soak_fault("configurations")
 async def change_configuration(site: SoakSite, rng: random.Random) -> None:
     """Add a queue and remove the previous one, twice in quick succession."""
--- a/hawthorntrack/experiment/tests/test_soak.py
+++ b/hawthorntrack/experiment/tests/test_soak.py
@@ -23,6 +23,8 @@
     (24, ("targets_crash",)),
     # Targets with two lost answers were never called again.
     (25, ("targets_crash",)),
+    # Guards started tasks in a zone of which no entry instance knew that it was out.
+    (3, ("zone_out_unseen",)),
 )
 # Links of each entry instance to the eight guards.
 LINKS = 4
--- a/hawthorntrack/platform/formats.py
+++ b/hawthorntrack/platform/formats.py
@@ -13,7 +13,7 @@
 
 from hawthorntrack.state.addresses import split_address
 from hawthorntrack.state.catalogue import Catalogue, Limits, Queue, Service
-from hawthorntrack.state.directives import Directives, Member, StoreRow
+from hawthorntrack.state.directives import Directives, KeyRange, Member, StoreRow
 from hawthorntrack.state.event_log import log_event
 from hawthorntrack.state.metrics import BAD_INPUT, labelled
 from hawthorntrack.state.plans import (
@@ -33,6 +33,8 @@
 SETTINGS_PATH_VARIABLE = "HAWTHORNTRACK_BOOT"
 CONFIG_KEY = "config"
 EVACUATED_ZONE_PREFIX = "evacuate/"
+# "0" is the character after "/".
+EVACUATED_ZONE_KEYS = KeyRange(EVACUATED_ZONE_PREFIX, "evacuate0")
 # Every JSON reader represents integers up to this one exactly. Sums and products of
 # the values bounded by it stay far from any overflow.
 MAX_SAFE_INTEGER = 2**53 - 1
@@ -468,11 +470,16 @@
     return Directives(
         stamp,
         decode_catalogue(config.value) if config is not None else Catalogue(),
-        frozenset(
-            key.removeprefix(EVACUATED_ZONE_PREFIX)
-            for key in rows
-            if key.startswith(EVACUATED_ZONE_PREFIX)
-        ),
+        decode_zones_out(rows.values()),
+    )
+
+
+def decode_zones_out(rows: Iterable[StoreRow]) -> frozenset[str]:
+    """Return the zones that the operator's rows take out of service."""
+    return frozenset(
+        row.key.removeprefix(EVACUATED_ZONE_PREFIX)
+        for row in rows
+        if row.key.startswith(EVACUATED_ZONE_PREFIX)
     )
 
 
--- a/hawthorntrack/platform/store.py
+++ b/hawthorntrack/platform/store.py
@@ -5,7 +5,7 @@
 import aiohttp
 
 from hawthorntrack.platform.formats import Malformed, decode_page, encode_write
-from hawthorntrack.state.directives import StoreRow
+from hawthorntrack.state.directives import KeyRange, StoreRow
 from hawthorntrack.state.metrics import TABLE_CALLS, labelled
 from hawthorntrack.state.store import Changes, HistoryGone, StoreUnavailable
 from hawthorntrack.transport.connecting import address_errors
@@ -54,12 +54,17 @@
             ):
                 return response.status, await response.read()
 
-    async def read(self, table: str) -> Changes | StoreUnavailable:
-        """Read all rows of a table, page by page."""
+    async def read(
+        self, table: str, keys: KeyRange = KeyRange()
+    ) -> Changes | StoreUnavailable:
+        """Read the rows of a table in a range of keys, page by page."""
         rows: list[StoreRow] = []
-        start, version = "", None
+        start, version = keys.start, None
         while True:
-            params = {"table": table, "part": ""} | ({"from": start} if start else {})
+            bounds = {"from": start, "target": keys.end}
+            params = {"table": table, "part": ""} | {
+                name: key for name, key in bounds.items() if key
+            }
             try:
                 status, body = await self.call(
                     "GET", "/v1/rows-get", CALL_TIMEOUT_S, params=params
--- a/hawthorntrack/platform/tests/conftest.py
+++ b/hawthorntrack/platform/tests/conftest.py
@@ -127,6 +127,7 @@
             self.calls,
             self.target_record,
             Mailbox("drained"),
+            Mailbox("zone_reader"),
             lambda: self.time,
             first_token=50,
             lease_times=derive_lease_times(DeploymentTimes()),
--- a/hawthorntrack/platform/tests/test_calls.py
+++ b/hawthorntrack/platform/tests/test_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 import socket
 import struct
 import time
@@ -10,7 +11,11 @@
 import pytest
 from aiohttp import web
 
+from hawthorntrack.coordination.zone_knowledge import ZonesAsOf
+from hawthorntrack.coordination.zone_reader import ReadZones, ZoneReader, ZonesRead
 from hawthorntrack.platform.entry_http import CallersHandler
+from hawthorntrack.platform.formats import EVACUATED_ZONE_KEYS, decode_zones_out
+from hawthorntrack.platform.standins import StandInStore
 from hawthorntrack.platform.store import PlatformStore
 from hawthorntrack.platform.targets import HeartbeatHandler, TargetCalls
 from hawthorntrack.protocol.job_requests import CallerDisconnected, SubmitPlan
@@ -23,6 +28,7 @@
     TargetDeparted,
     TargetHeartbeat,
 )
+from hawthorntrack.state.catalogue import Catalogue
 from hawthorntrack.state.clock import seconds_since_boot
 from hawthorntrack.state.mailbox import Mailbox
 from hawthorntrack.state.plans import RunName, TargetIncarnation, TargetState, TaskName
@@ -225,6 +231,44 @@
     assert with_server(stand_in.answer, scenario) == outcome
 
 
+def test_zones_out_are_read_without_the_operators_other_rows(with_server):
+    """The configuration may be large, and a guard has no use for it."""
+    stand_in_store = StandInStore(random.Random(1))
+    stand_in_store.configure(Catalogue(3, (), ()))
+    stand_in_store.set_zone_out("recife", True)
+    stand_in_store.set_zone_out("olinda", True)
+    stand_in_store.set_zone_out("olinda", False)
+    holder = Mailbox("holder")
+
+    async def scenario(address):
+        store = PlatformStore(address)
+        try:
+            changes = await store.read("op", EVACUATED_ZONE_KEYS)
+            reader = ZoneReader(store, EVACUATED_ZONE_KEYS, decode_zones_out, holder)
+            await reader.read(ReadZones(5.0))
+        finally:
+            await store.close()
+        assert [row.key for row in changes.rows] == ["evacuate/recife"]
+        return await holder.get()
+
+    outcome = with_server(stand_in_store.answer, scenario)
+    assert outcome == ZonesRead(ZonesAsOf(4, frozenset({"recife"})), 5.0)
+
+
+def test_zones_that_cannot_be_read_are_reported_as_unknown(with_server, stand_in):
+    stand_in.answers["/v1/rows-get"] = (503, {})
+    holder = Mailbox("holder")
+
+    async def scenario(address):
+        store = PlatformStore(address)
+        reader = ZoneReader(store, EVACUATED_ZONE_KEYS, decode_zones_out, holder)
+        await reader.read(ReadZones(5.0))
+        await store.close()
+        return await holder.get()
+
+    assert with_server(stand_in.answer, scenario) == ZonesRead(None, 5.0)
+
+
 def test_heartbeats_and_departures_are_passed_to_the_guard(with_server):
     events = Mailbox("events")
 
--- a/hawthorntrack/platform/tests/test_foreign_bodies.py
+++ b/hawthorntrack/platform/tests/test_foreign_bodies.py
@@ -246,7 +246,7 @@
         (*rows, StoreRow(VALID_MEMBER.address, formats.encode_member(VALID_MEMBER), 9)),
         9,
     )
-    harness.watcher.handle(StoreAnswer("members", True, changes))
+    harness.watcher.handle(StoreAnswer("members", True, changes, 0.0))
     working_set = WorkingSet("10.9.9.9:1", "recife", 160)
     working_set.add_members(harness.known_members())
     return working_set.review(1.0, lambda address: False, (), ()).dial
--- a/hawthorntrack/protocol/job_requests.py
+++ b/hawthorntrack/protocol/job_requests.py
@@ -78,6 +78,10 @@
     ----------
     stamp : int
         Store version as of which they are in force.
+    as_of : float
+        Time at which the store had no newer ones, in seconds since boot; 0.0 if that
+        is not known.
     """
 
     stamp: int
+    as_of: float
--- a/hawthorntrack/protocol/run_messages.py
+++ b/hawthorntrack/protocol/run_messages.py
@@ -137,6 +137,9 @@
     needs_capacity_updates : bool
         Whether jobs wait for capacity at the guard. It then reports each change of
         its free capacity at once.
+    directives_age_ms : int
+        Time for which the store has not answered the sender, in milliseconds; the
+        sender does not know what has changed since.
     """
 
     exposed_name = "Vouch"
@@ -145,6 +148,7 @@
     store_version: int
     zones_out: tuple[str, ...]
     needs_capacity_updates: bool = False
+    directives_age_ms: Count = 0
 
 
 class RunOrder(NamedTuple):
@@ -180,6 +184,8 @@
         Queue of the job, whose share the work is charged to; empty if it is not shared.
     offer : int
         Number of the `OfferRoom` that the runs use; 0 for none.
+    directives_age_ms : int
+        As in `ConfirmLease`.
     """
 
     guard_clock_ms: int
@@ -188,6 +194,7 @@
     runs: tuple[RunOrder, ...]
     queue: QueueName = ""
     offer: Count = 0
+    directives_age_ms: Count = 0
 
 
 class QueueDemand(NamedTuple):
--- a/hawthorntrack/state/directives.py
+++ b/hawthorntrack/state/directives.py
@@ -23,6 +23,13 @@
     removed: bool = False
 
 
+class KeyRange(NamedTuple):
+    """The keys from `start` to before `end`; an empty text is no bound."""
+
+    start: str = ""
+    end: str = ""
+
+
 class Directives(NamedTuple):
     """The operators' directives in force.
 
--- a/hawthorntrack/state/metrics.py
+++ b/hawthorntrack/state/metrics.py
@@ -22,6 +22,11 @@
     "hawthorntrack_target_crashes", "Crashes of the target beside a guard."
 )
 NOT_RUN = Counter("hawthorntrack_not_run", "Tasks returned unstarted.", ["reason"])
+ZONE_READS = Counter(
+    "hawthorntrack_zone_reads",
+    "Reads of the zones out of service by a guard, when no entry instance is current.",
+    ["outcome"],
+)
 ROOM_KEPT_SECONDS = Counter(
     "hawthorntrack_room_kept_seconds",
     "Time for which free capacity was kept for a task that does not fit yet.",
--- a/hawthorntrack/state/store.py
+++ b/hawthorntrack/state/store.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from hawthorntrack.state.directives import StoreRow
+from hawthorntrack.state.directives import KeyRange, StoreRow
 
 
 @dataclass(frozen=True)
@@ -36,8 +36,10 @@
 class Store(Protocol):
     """Calls to the platform's store."""
 
-    async def read(self, table: str) -> Changes | StoreUnavailable:
-        """Return all rows of a table."""
+    async def read(
+        self, table: str, keys: KeyRange = KeyRange()
+    ) -> Changes | StoreUnavailable:
+        """Return the rows of a table in a range of keys, which is all by default."""
 
     async def read_row(
         self, table: str, key: str
