Ask peers for newer directives while the store gives no answer

Callers of one entry instance got 404 for a new route, and would have been held to old time-outs and limits, for as long as the store refused that instance, though its peers had the configuration within 20 ms.

Change: an entry instance that the store has not answered for 1 s asks one peer after the other, every 0.2 s, for directives after its own stamp; a peer without newer ones does not answer.

The new test of the request fails on the code before.

--- a/hawthorntrack/coordination/store_watcher.py
+++ b/hawthorntrack/coordination/store_watcher.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import itertools
 from collections.abc import Callable
 from typing import Any
 
@@ -42,6 +43,9 @@
 INITIAL_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.8
 DIRECTIVES_REQUEST_INTERVAL_S = 0.2
+# Peers are asked for newer directives once the store has not answered for this long,
+# which leaves a second of the 2 s in which directives have to be in force.
+ASK_PEERS_AFTER_S = 1.0
 
 
 class StoreAnswer:
@@ -126,6 +130,7 @@
         self.stamp = 0
         self.members: dict[str, Member] = {}
         self.asked_at = 0.0
+        self.confirmed_at = 0.0
         self.reachable: dict[str, bool] = {}
 
     async def run(self) -> None:
@@ -134,6 +139,7 @@
         if self.me.role == "entry":
             self.spawn(self.watch_table(DIRECTIVES_TABLE, DIRECTIVES_WATCH_S))
             self.spawn(self.watch_table(MEMBERS_TABLE, MEMBERS_WATCH_S))
+            self.spawn(self.ask_peers_while_outdated())
         await super().run()
 
     async def register(self) -> None:
@@ -179,6 +185,21 @@
                 as_of = min(self.clock(), as_of + wait_s)
             self.mailbox.put(StoreAnswer(table, is_full_read, outcome, as_of))
 
+    async def ask_peers_while_outdated(self) -> None:
+        """Ask one peer after the other for newer directives while the store is silent.
+
+        Explanation
+        -----------
+        A peer's stamp comes with its messages, but entry instances exchange none on a
+        quiet day.
+        """
+        for number in itertools.count():
+            await asyncio.sleep(DIRECTIVES_REQUEST_INTERVAL_S)
+            peers = self.entry_peers()
+            if peers and self.clock() - self.confirmed_at >= ASK_PEERS_AFTER_S:
+                peer = peers[number % len(peers)]
+                self.send(peer, RequestDirectives(self.stamp))
+
     def log_reachability(self, call: str, outcome: Any) -> None:
         """Log when a call to the store begins to fail or succeeds again."""
         reachable = not isinstance(outcome, StoreUnavailable)
@@ -206,6 +227,7 @@
                 before = {} if answer.is_full_read else self.rows
                 rows = merge_rows(before, answer.outcome.rows)
                 self.apply_rows(rows, answer.outcome.version)
+            self.confirmed_at = max(self.confirmed_at, answer.as_of)
             self.confirm_directives(answer.as_of)
         else:
             rows = [row for row in answer.outcome.rows if not row.removed]
@@ -296,11 +318,18 @@
         """Return the fields of all members, for a message."""
         return tuple(tuple(member) for member in self.members.values())
 
+    def entry_peers(self) -> list[str]:
+        """Return the addresses of the other entry instances."""
+        return [
+            member.address
+            for member in self.members.values()
+            if member.role == "entry" and member.address != self.me.address
+        ]
+
     def send_to_entries(self, message: Any) -> None:
         """Send a message to all other entry instances."""
-        for member in self.members.values():
-            if member.role == "entry" and member.address != self.me.address:
-                self.send(member.address, message)
+        for address in self.entry_peers():
+            self.send(address, message)
 
     @handles(KnownMembers)
     def on_known_members(self, known: KnownMembers, sender: Incarnation) -> None:
@@ -321,13 +350,15 @@
             and now - self.asked_at >= DIRECTIVES_REQUEST_INTERVAL_S
         ):
             self.asked_at = now
-            self.send(seen.peer.address, RequestDirectives())
+            self.send(seen.peer.address, RequestDirectives(self.stamp))
 
     @handles(RequestDirectives)
     def on_request_directives(
         self, request: RequestDirectives, sender: Incarnation
     ) -> None:
-        """Send a peer the directives in force."""
+        """Send a peer the directives in force if they are newer than its own."""
+        if self.stamp <= request.after:
+            return
         rows = tuple((row.key, row.value, row.version) for row in self.rows.values())
         self.send(sender.address, DirectiveRows(self.stamp, rows))
 
--- a/hawthorntrack/coordination/tests/test_store_watcher.py
+++ b/hawthorntrack/coordination/tests/test_store_watcher.py
@@ -5,6 +5,7 @@
 import pytest
 
 from hawthorntrack.coordination.store_watcher import (
+    DIRECTIVES_REQUEST_INTERVAL_S,
     DIRECTIVES_WATCH_S,
     StoreWatcher,
 )
@@ -33,6 +34,8 @@
 from hawthorntrack.state.values import Incarnation
 
 ME = Member("10.0.0.1:1", "entry", "recife", "entry-1")
+# Longest specified time until a configuration is in force.
+CONFIG_LIMIT_S = 2.0
 PEER = Incarnation("10.0.0.2:1", "p")
 
 
@@ -222,6 +225,54 @@
     assert harness.versions() == [(7, 40)]
 
 
+def test_peers_are_asked_for_directives_while_the_store_refuses_this_process(
+    run, harness
+):
+    """Seen: a configuration reached such an entry instance 7 s after its peers."""
+    harness.store.reads["op"] = [Changes((config(8, 20),), 21)]
+    harness.store.watches["op"] = [StoreUnavailable("busy")] * 99
+    peers = ("10.0.0.2:1", "10.0.0.3:1")
+
+    async def scenario():
+        harness.watcher.add_members(
+            (*(Member(peer, "entry", "z", "n") for peer in peers), ME)
+        )
+        await harness.run_for(CONFIG_LIMIT_S)
+
+    run(scenario())
+    asked = [(to, body) for to, body in harness.sent if to in peers]
+    assert {to for to, _ in asked} == set(peers)
+    assert {body for _, body in asked} == {RequestDirectives(21)}
+    assert len(asked) <= CONFIG_LIMIT_S / DIRECTIVES_REQUEST_INTERVAL_S
+
+
+def test_peers_are_not_asked_for_directives_while_the_store_answers(run, harness):
+    harness.store.reads["op"] = [Changes((config(8, 20),), 21)]
+    harness.store.watches["op"] = [Changes((), 21)] * 9
+    harness.store.watch_takes_s = DIRECTIVES_WATCH_S
+
+    async def scenario():
+        harness.watcher.add_members((Member("10.0.0.2:1", "entry", "z", "n"),))
+        await harness.run_for(6.0)
+
+    run(scenario())
+    assert harness.sent == []
+
+
+def test_request_for_directives_is_answered_only_with_newer_ones(run, harness):
+    harness.store.reads["op"] = [Changes((config(8, 20),), 21)]
+
+    async def scenario():
+        await harness.run_for()
+        harness.deliver(RequestDirectives(21))
+        assert harness.sent == []
+        harness.deliver(RequestDirectives(20))
+
+    run(scenario())
+    ((to, reply),) = harness.sent
+    assert (to, reply.store_version) == (PEER.address, 21)
+
+
 def test_directives_of_a_peer_that_is_behind_change_nothing(run, harness):
     harness.store.reads["op"] = [Changes((config(8, 20),), 21)]
 
--- a/hawthorntrack/protocol/run_messages.py
+++ b/hawthorntrack/protocol/run_messages.py
@@ -411,10 +411,18 @@
 
 @message("ask_directives")
 class RequestDirectives(NamedTuple):
-    """Requests the operators' directives that are in force at a peer."""
+    """Requests the operators' directives in force at a peer if they are newer.
+
+    Attributes
+    ----------
+    after : int
+        Stamp of the directives that the sender has; 0 if it has none.
+    """
 
     exposed_name = "AskDirectives"
 
+    after: Count = 0
+
 
 @message("directive_rows")
 class DirectiveRows(NamedTuple):
