Count only linked entry instances as outdated at guards

A late message of an entry instance whose link had ended would have left it among the outdated ones, and the guard reading the zones every 2 s until that instance is linked and current again.

--- a/hawthorntrack/coordination/leaseholder.py
+++ b/hawthorntrack/coordination/leaseholder.py
@@ -253,7 +253,6 @@
     def on_link_down(self, event: LinkDown, sender: Incarnation) -> None:
         """Shorten an entry instance's lease to the time it has to reconnect."""
         self.linked_entries.discard(event.address)
-        self.zones.outdated_entries.discard(event.address)
         self.capacity_subscribers.pop(event.address, None)
         self.forget_demand(event.address)
         if event.address in self.owner_lease_ends:
@@ -301,6 +300,7 @@
     def read_zones_if_needed(self) -> None:
         """Read the zones out of service if no entry instance knows them well enough."""
         now = self.clock()
+        self.zones.outdated_entries &= self.linked_entries
         if self.zones.needs_read(now):
             self.zones.read_pending = True
             self.zone_reader.put(ReadZones(now))
--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -380,6 +380,14 @@
     assert answer_zone_reads(guard, 0, None) == 0
 
 
+def test_late_message_of_an_entry_instance_that_is_gone_causes_no_reads(guard):
+    guard.time += 3.0
+    guard.deliver(LinkDown(ENTRY.address))
+    confirm_with_age(guard, 3.0)
+    guard.wait(3.0)
+    assert answer_zone_reads(guard, 0, None) == 0
+
+
 def test_late_update_of_zones_does_not_replace_a_newer_one(guard):
     guard.deliver(ConfirmLease(round(guard.time * 1000), 7, ("recife",)), ENTRY)
     guard.deliver(ConfirmLease(round(guard.time * 1000), 6, ()), ENTRY)
