Put the zones' messages and value in their layers, and use the project's terms

ReadZones and ZonesRead move to protocol/local.py and ZonesAsOf to state/directives.py, where the messages between actors and the operators' directives stand; "zone out of service" replaces the platform's word outside of platform/. No behaviour changes. The tests of coordination, platform, protocol and daemon pass.

--- a/hawthorntrack/coordination/leaseholder.py
+++ b/hawthorntrack/coordination/leaseholder.py
@@ -16,10 +16,14 @@
     Run,
     TargetSession,
 )
-from hawthorntrack.coordination.zone_knowledge import ZonesAsOf
-from hawthorntrack.coordination.zone_reader import ReadZones, ZonesRead
 from hawthorntrack.protocol.links import LinkDown, LinkUp
-from hawthorntrack.protocol.local import Drain, DrainCompleted, DrainDeadlinePassed
+from hawthorntrack.protocol.local import (
+    Drain,
+    DrainCompleted,
+    DrainDeadlinePassed,
+    ReadZones,
+    ZonesRead,
+)
 from hawthorntrack.protocol.run_messages import (
     CancelJobRuns,
     CheckRuns,
@@ -39,6 +43,7 @@
 )
 from hawthorntrack.state.actor import handles
 from hawthorntrack.state.clock import Clock
+from hawthorntrack.state.directives import ZonesAsOf
 from hawthorntrack.state.event_log import log_event
 from hawthorntrack.state.lease_times import GUARD_HEARTBEAT_INTERVAL_S, LeaseTimes
 from hawthorntrack.state.mailbox import Mailbox, Tick
--- a/hawthorntrack/coordination/tests/test_leaseholder.py
+++ b/hawthorntrack/coordination/tests/test_leaseholder.py
@@ -27,10 +27,8 @@
     STOP_RETRY_DELAY_S,
 )
 from hawthorntrack.coordination.run_reconciler import RENEWAL_LONG_POLL_S
-from hawthorntrack.coordination.zone_knowledge import ZonesAsOf
-from hawthorntrack.coordination.zone_reader import ZonesRead
 from hawthorntrack.protocol.links import LinkDown
-from hawthorntrack.protocol.local import Drain
+from hawthorntrack.protocol.local import Drain, ZonesRead
 from hawthorntrack.protocol.run_messages import (
     CancelJobRuns,
     CheckRuns,
@@ -58,6 +56,7 @@
     TargetHeartbeat,
 )
 from hawthorntrack.state.actor import Delivery
+from hawthorntrack.state.directives import ZonesAsOf
 from hawthorntrack.state.lease_times import DeploymentTimes, derive_lease_times
 from hawthorntrack.state.mailbox import Mailbox, Tick
 from hawthorntrack.state.plans import (
@@ -301,7 +300,7 @@
     return len(requests)
 
 
-def test_evacuation_takes_effect_while_the_store_turns_entry_instances_away(guard):
+def test_zone_out_takes_effect_while_the_store_rejects_all_entry_instances(guard):
     """Seen: guards went on starting tasks in the zone for as long as that lasted."""
     for tenths in range(30):
         guard.wait(0.1)
--- a/hawthorntrack/coordination/tests/test_zone_knowledge.py
+++ b/hawthorntrack/coordination/tests/test_zone_knowledge.py
@@ -1,6 +1,6 @@
 """A guard reads the zones out of service only while no entry instance knows them.
 
-Load pattern of the reads: the store turns away all entry instances of many guards.
+Load pattern of the reads: the store rejects all entry instances of many guards.
 """
 
 import pytest
@@ -10,13 +10,13 @@
     OUTDATED_AFTER_S,
     READ_RETRY_S,
     ZoneKnowledge,
-    ZonesAsOf,
     is_outdated,
 )
+from hawthorntrack.state.directives import ZonesAsOf
 
 RECIFE_OUT = ZonesAsOf(9, frozenset({"recife"}))
-# Longest specified time from an evacuation's acknowledgement until it is in force.
-EVACUATION_LIMIT_S = 5.0
+# Longest specified time for which tasks may start in a zone that is out of service.
+ZONE_OUT_LIMIT_S = 5.0
 TICK_S = 0.1
 
 
@@ -69,8 +69,8 @@
     assert reads <= 58.0 / OUTDATED_AFTER_S + 1
 
 
-def test_evacuation_is_known_in_time_though_two_reads_get_no_answer(zones):
-    """The evacuation is acknowledged right after the last answer to anybody."""
+def test_zone_out_is_known_in_time_though_two_reads_get_no_answer(zones):
+    """It is taken out of service right after the last answer to anybody."""
     call_timeout_s = 0.6
     now, failures, answered_at = 1_000.0, 0, None
     while answered_at is None:
@@ -84,7 +84,7 @@
             now += call_timeout_s
         else:
             answered_at = now
-    assert answered_at - 1_000.0 < EVACUATION_LIMIT_S
+    assert answered_at - 1_000.0 < ZONE_OUT_LIMIT_S
 
 
 def test_failed_read_is_repeated_after_a_pause_only(zones):
@@ -129,6 +129,6 @@
 
 
 def test_bounds_leave_time_for_reads():
-    assert OUTDATED_AFTER_S < MAX_AGE_FOR_STARTS_S < EVACUATION_LIMIT_S
+    assert OUTDATED_AFTER_S < MAX_AGE_FOR_STARTS_S < ZONE_OUT_LIMIT_S
     assert is_outdated(OUTDATED_AFTER_S)
     assert not is_outdated(OUTDATED_AFTER_S / 2)
--- a/hawthorntrack/coordination/zone_knowledge.py
+++ b/hawthorntrack/coordination/zone_knowledge.py
@@ -6,24 +6,17 @@
 what it knows, so that an outage of the store stops no work.
 """
 
-from typing import NamedTuple
+from hawthorntrack.state.directives import ZonesAsOf
 
-# The store answers an entry instance every 0.7 s. The rest of the 5 s in which an
-# evacuation must be in force is left for the guard's own reads.
+# The store answers an entry instance every 0.7 s. No task may start in a zone 5 s after
+# it was taken out of service, and the rest of that time is left for the guard's reads.
 OUTDATED_AFTER_S = 2.0
-# Allows two failed reads before an evacuation must be in force.
+# Allows two failed reads within that time.
 READ_RETRY_S = 0.8
 # Longest time without a read, or an attempt, after which tasks may still be started.
 MAX_AGE_FOR_STARTS_S = 4.0
 
 
-class ZonesAsOf(NamedTuple):
-    """The zones out of service at one version of the store."""
-
-    version: int = 0
-    zones_out: frozenset[str] = frozenset()
-
-
 def is_outdated(age_s: float) -> bool:
     """Return whether an entry instance's directives count as outdated at this age."""
     return age_s >= OUTDATED_AFTER_S
@@ -98,7 +91,7 @@
 
         Explanation
         -----------
-        Load pattern: the store turns away all entry instances of many guards, and each
+        Load pattern: the store rejects all entry instances of many guards, and each
         guard reads at most once in `OUTDATED_AFTER_S`. On a calm day none reads.
         """
         return (
--- a/hawthorntrack/coordination/zone_reader.py
+++ b/hawthorntrack/coordination/zone_reader.py
@@ -1,30 +1,16 @@
 """Actor that reads the zones out of service from the store for a guard."""
 
 from collections.abc import Callable, Iterable
-from typing import Any, NamedTuple
 
 from hawthorntrack.coordination.store_watcher import DIRECTIVES_TABLE
-from hawthorntrack.coordination.zone_knowledge import ZonesAsOf
+from hawthorntrack.protocol.local import ReadZones, ZonesRead
 from hawthorntrack.state.actor import Actor, handles
-from hawthorntrack.state.directives import KeyRange, StoreRow
+from hawthorntrack.state.directives import KeyRange, StoreRow, ZonesAsOf
 from hawthorntrack.state.mailbox import Mailbox
 from hawthorntrack.state.store import Store, StoreUnavailable
 from hawthorntrack.state.values import Incarnation
 
 
-class ReadZones(NamedTuple):
-    """The lease holder wants the zones out of service; `asked_at` is its time."""
-
-    asked_at: float
-
-
-class ZonesRead(NamedTuple):
-    """The outcome of a `ReadZones`; `zones` is None if the store gave no answer."""
-
-    zones: ZonesAsOf | None
-    asked_at: float
-
-
 class ZoneReader(Actor):
     """Reads the operators' rows of zones, and no others, which may be large.
 
@@ -60,7 +46,7 @@
 
     async def read(self, request: ReadZones) -> None:
         """Read the rows once, and report the zones."""
-        outcome: Any = await self.store.read(DIRECTIVES_TABLE, self.zone_keys)
+        outcome = await self.store.read(DIRECTIVES_TABLE, self.zone_keys)
         zones = None
         if not isinstance(outcome, StoreUnavailable):
             zones = ZonesAsOf(outcome.version, self.decode(outcome.rows))
--- a/hawthorntrack/daemon/guard_node.py
+++ b/hawthorntrack/daemon/guard_node.py
@@ -7,7 +7,7 @@
 from hawthorntrack.coordination.zone_reader import ZoneReader
 from hawthorntrack.daemon.node import Node
 from hawthorntrack.platform.formats import (
-    EVACUATED_ZONE_KEYS,
+    ZONES_OUT_KEYS,
     decode_target_row,
     decode_zones_out,
     encode_target_row,
@@ -33,7 +33,7 @@
         Mailbox("unbound"),
     )
     zone_reader = ZoneReader(
-        node.store, EVACUATED_ZONE_KEYS, decode_zones_out, Mailbox("unbound")
+        node.store, ZONES_OUT_KEYS, decode_zones_out, Mailbox("unbound")
     )
     lease_holder = LeaseHolder(
         node.send,
--- a/hawthorntrack/platform/formats.py
+++ b/hawthorntrack/platform/formats.py
@@ -34,7 +34,7 @@
 CONFIG_KEY = "config"
 EVACUATED_ZONE_PREFIX = "evacuate/"
 # "0" is the character after "/".
-EVACUATED_ZONE_KEYS = KeyRange(EVACUATED_ZONE_PREFIX, "evacuate0")
+ZONES_OUT_KEYS = KeyRange(EVACUATED_ZONE_PREFIX, "evacuate0")
 # Every JSON reader represents integers up to this one exactly. Sums and products of
 # the values bounded by it stay far from any overflow.
 MAX_SAFE_INTEGER = 2**53 - 1
--- a/hawthorntrack/platform/tests/test_calls.py
+++ b/hawthorntrack/platform/tests/test_calls.py
@@ -11,14 +11,14 @@
 import pytest
 from aiohttp import web
 
-from hawthorntrack.coordination.zone_knowledge import ZonesAsOf
-from hawthorntrack.coordination.zone_reader import ReadZones, ZoneReader, ZonesRead
+from hawthorntrack.coordination.zone_reader import ZoneReader
 from hawthorntrack.platform.entry_http import CallersHandler
-from hawthorntrack.platform.formats import EVACUATED_ZONE_KEYS, decode_zones_out
+from hawthorntrack.platform.formats import ZONES_OUT_KEYS, decode_zones_out
 from hawthorntrack.platform.standins import StandInStore
 from hawthorntrack.platform.store import PlatformStore
 from hawthorntrack.platform.targets import HeartbeatHandler, TargetCalls
 from hawthorntrack.protocol.job_requests import CallerDisconnected, SubmitPlan
+from hawthorntrack.protocol.local import ReadZones, ZonesRead
 from hawthorntrack.protocol.target_messages import (
     ORDER_TIMEOUT_S,
     RenewLeaseOrder,
@@ -30,6 +30,7 @@
 )
 from hawthorntrack.state.catalogue import Catalogue
 from hawthorntrack.state.clock import seconds_since_boot
+from hawthorntrack.state.directives import ZonesAsOf
 from hawthorntrack.state.mailbox import Mailbox
 from hawthorntrack.state.plans import RunName, TargetIncarnation, TargetState, TaskName
 from hawthorntrack.state.store import Changes, HistoryGone, StoreUnavailable
@@ -243,8 +244,8 @@
     async def scenario(address):
         store = PlatformStore(address)
         try:
-            changes = await store.read("op", EVACUATED_ZONE_KEYS)
-            reader = ZoneReader(store, EVACUATED_ZONE_KEYS, decode_zones_out, holder)
+            changes = await store.read("op", ZONES_OUT_KEYS)
+            reader = ZoneReader(store, ZONES_OUT_KEYS, decode_zones_out, holder)
             await reader.read(ReadZones(5.0))
         finally:
             await store.close()
@@ -261,7 +262,7 @@
 
     async def scenario(address):
         store = PlatformStore(address)
-        reader = ZoneReader(store, EVACUATED_ZONE_KEYS, decode_zones_out, holder)
+        reader = ZoneReader(store, ZONES_OUT_KEYS, decode_zones_out, holder)
         await reader.read(ReadZones(5.0))
         await store.close()
         return await holder.get()
--- a/hawthorntrack/protocol/local.py
+++ b/hawthorntrack/protocol/local.py
@@ -5,7 +5,7 @@
 
 from hawthorntrack.protocol.bodies import AnnouncementBody
 from hawthorntrack.state.control_view import ControlView
-from hawthorntrack.state.directives import Member
+from hawthorntrack.state.directives import Member, ZonesAsOf
 from hawthorntrack.state.started_tasks import TaskKey
 from hawthorntrack.state.table import ReadResult, WriteOutcome
 from hawthorntrack.state.values import (
@@ -36,6 +36,19 @@
     stamp: int
 
 
+class ReadZones(NamedTuple):
+    """A guard must read the zones out of service; `asked_at` is its time in seconds."""
+
+    asked_at: float
+
+
+class ZonesRead(NamedTuple):
+    """The outcome of a `ReadZones`; `zones` is None if the store gave no answer."""
+
+    zones: ZonesAsOf | None
+    asked_at: float
+
+
 class PollCompleted(NamedTuple):
     """A poll of the table ended.
 
--- a/hawthorntrack/state/directives.py
+++ b/hawthorntrack/state/directives.py
@@ -47,6 +47,13 @@
     zones_out: frozenset[str] = frozenset()
 
 
+class ZonesAsOf(NamedTuple):
+    """The zones out of service at one version of the store."""
+
+    version: int = 0
+    zones_out: frozenset[str] = frozenset()
+
+
 class Member(NamedTuple):
     """A process of the system, as registered in its row of the store.
 
