Look up peers only while the store gives no answer

An entry instance went through all members five times a second, also while the store answered it: work without need that grows with the fleet. Found on reading the change that added the requests to peers. No caller was affected, and what is sent, and when, is as before. The tests of coordination, platform and the layers pass, with every assertion kept; nothing else was run on it.

--- a/hawthorntrack/coordination/store_watcher.py
+++ b/hawthorntrack/coordination/store_watcher.py
@@ -195,8 +195,9 @@
         """
         for number in itertools.count():
             await asyncio.sleep(DIRECTIVES_REQUEST_INTERVAL_S)
-            peers = self.entry_peers()
-            if peers and self.clock() - self.confirmed_at >= ASK_PEERS_AFTER_S:
+            if self.clock() - self.confirmed_at < ASK_PEERS_AFTER_S:
+                continue
+            if peers := self.entry_peers():
                 peer = peers[number % len(peers)]
                 self.send(peer, RequestDirectives(self.stamp))
 
